--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,6 @@
 LDLIBS   = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -largtable2 \
            -lcrypto -lpthread -lm
 
-GENERATED = $(wildcard src/peer/*.pb-c.c)
 LIB_SRC  = $(filter-out src/cmd/main.c,$(wildcard src/*/*.c))
 LIB_OBJ  = $(LIB_SRC:%.c=$(B)/%.o)
 BIN      = $(B)/parsleyspur
@@ -60,7 +59,7 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-$(B)/src/peer/%.pb-c.o: src/peer/%.pb-c.c
+$(B)/%.pb-c.o: %.pb-c.c
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -Wno-unused-parameter -c -o $@ $<
 
@@ -92,7 +91,9 @@
 
 # The inner protocol: needs protobuf-c-compiler; the result is committed.
 proto:
-	cd src/peer && protoc-c --c_out=. *.proto
+	for folder in src/*/; do \
+	    ls $$folder*.proto >/dev/null 2>&1 || continue; \
+	    (cd $$folder && protoc-c --c_out=. *.proto); done
 
 format:
 	clang-format -i $(C_FILES)
