--- a/tests/stand-ins/lib_tcp_proxy.c
+++ b/tests/stand-ins/lib_tcp_proxy.c
@@ -8,6 +8,7 @@
 #define TCP_QUEUE_MAX   262144 /* bytes held back before reading stops */
 #define TCP_RETRY_MS    200    /* what a lost piece costs */
 #define TCP_CUT_POLL_MS 20     /* how often a cut is looked at */
+#define TCP_FLUSH_MS    4      /* how often held pieces are looked at */
 
 struct tcp_proxy {
     struct path *path;
@@ -121,7 +122,7 @@
     half_open(link, &link->far, &link->near, proxy->to, proxy->from);
     uv_timer_init(proxy->path->loop, &link->timer);
     link->timer.data = link;
-    uv_timer_start(&link->timer, timer_cb, 1, 1);
+    uv_timer_start(&link->timer, timer_cb, TCP_FLUSH_MS, TCP_FLUSH_MS);
     g_ptr_array_add(proxy->links, link);
     uv_accept(listener, (uv_stream_t *)&link->near.in);
     link->connect.data = link;
