--- a/Makefile
+++ b/Makefile
@@ -127,8 +127,8 @@
 check-build: all $(UNITS) $(PROPS) $(FUZZERS) $(BENCHES)
 
 check: deps
-	+$(MAKE) --no-print-directory -j$(JOBS) check-build
-	+$(MAKE) --no-print-directory -j$(JOBS) check-format check-lint
+	+$(MAKE) --no-print-directory check-build
+	+$(MAKE) --no-print-directory check-format check-lint
 	bash tools/run-tests.sh $(UNITS) $(PROPS) $(FUZZERS) tests/script
 
 bench: $(BENCHES) all
@@ -138,7 +138,7 @@
 	@$<
 
 demo: deps
-	+$(MAKE) --no-print-directory -j$(JOBS) all
+	+$(MAKE) --no-print-directory all
 	@bash tools/demo.sh
 
 SEED ?= 1
--- /dev/null
+++ b/src/peer/frame.h
@@ -0,0 +1,49 @@
+/*
+ * Frames of the inner protocol: a length in four bytes, a channel in one, and
+ * a protobuf-c message of that channel.
+ */
+#ifndef PS_PEER_FRAME_H
+#define PS_PEER_FRAME_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#define FRAME_HEADER_LEN  5
+#define FRAME_PAYLOAD_MAX (4U << 20) /* bytes */
+
+enum peer_channel {
+    PEER_HELLO,
+    PEER_HELLO_ANSWER,
+    PEER_MEMBER,
+    PEER_SPREAD,
+    PEER_QUORUM,
+    PEER_TABLE,
+    PEER_EDIT,
+    PEER_FLOW,
+    PEER_CALL,
+    PEER_HANDON_FLOW,
+    PEER_HANDON_CALL,
+    PEER_CHANNEL__MAX
+};
+
+struct frame {
+    enum peer_channel channel;
+    const uint8_t *payload;
+    size_t len;
+};
+
+enum frame_result {
+    FRAME_READY,
+    FRAME_PARTIAL,
+    FRAME_BAD, /* unknown channel, or over FRAME_PAYLOAD_MAX */
+    FRAME__MAX
+};
+
+void frame_append(GByteArray *, enum peer_channel, const uint8_t *, size_t);
+enum frame_result frame_next(const uint8_t *, size_t, struct frame *,
+                             size_t *used);
+
+#endif
--- /dev/null
+++ b/src/peer/mesh_link.c
@@ -0,0 +1,227 @@
+/* Connections that this daemon opens: hello, queue, retry with backoff. */
+#include <string.h>
+
+#include "base/log.h"
+#include "peer/hello.pb-c.h"
+#include "peer/mesh_private.h"
+
+static void dial(struct mesh_link *);
+static void on_connect(uv_connect_t *, int);
+static void on_closed(uv_handle_t *);
+static void on_retry(uv_timer_t *);
+static void on_read(uv_stream_t *, ssize_t, const uv_buf_t *);
+static void drop(struct mesh_link *);
+static void send_hello(struct mesh_link *);
+static bool take_answer(struct mesh_link *);
+
+/* A link without a connection; the first message opens it. */
+struct mesh_link *
+mesh_link_new(struct mesh *mesh, struct daemon_id id)
+{
+    struct mesh_link *link = g_new0(struct mesh_link, 1);
+
+    link->mesh = mesh;
+    link->id = id;
+    link->retry_ms = MESH_RETRY_MIN_MS;
+    link->queue = g_byte_array_new();
+    link->input = g_byte_array_new();
+    uv_timer_init(mesh->loop, &link->retry);
+    link->retry.data = link;
+    link->connect.data = link;
+    return link;
+}
+
+/* Begin to close the link's handles; the mesh frees it later. */
+void
+mesh_link_close(struct mesh_link *link)
+{
+    link->closing = true;
+    drop(link);
+    uv_close((uv_handle_t *)&link->retry, NULL);
+}
+
+static void
+dial(struct mesh_link *link)
+{
+    struct sockaddr_in to;
+
+    if (link->closing || uv_is_active((uv_handle_t *)&link->retry)) {
+        return;
+    }
+    uv_tcp_init(link->mesh->loop, &link->tcp);
+    uv_tcp_nodelay(&link->tcp, 1);
+    link->tcp.data = link;
+    link->open = true;
+    link->greeted = false;
+    g_byte_array_set_size(link->input, 0);
+    mesh_sockaddr(mesh_way_to(link->mesh, link->address), &to);
+    if (uv_tcp_connect(&link->connect, &link->tcp, (struct sockaddr *)&to,
+                       on_connect) != 0) {
+        drop(link);
+    }
+}
+
+/* Close the connection; what waits is lost and its senders repeat it. */
+static void
+drop(struct mesh_link *link)
+{
+    if (!link->open) {
+        return;
+    }
+    link->open = false;
+    link->greeted = false;
+    g_byte_array_set_size(link->queue, 0);
+    uv_close((uv_handle_t *)&link->tcp, on_closed);
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+    struct mesh_link *link = handle->data;
+
+    if (link->closing) {
+        return;
+    }
+    uv_timer_start(&link->retry, on_retry, link->retry_ms, 0);
+    link->retry_ms = MIN(link->retry_ms * 2, MESH_RETRY_MAX_MS);
+}
+
+static void
+on_retry(uv_timer_t *timer)
+{
+    struct mesh_link *link = timer->data;
+
+    if (link->open && !link->greeted) {
+        drop(link);
+    }
+    else if (!link->open && link->queue->len > 0) {
+        dial(link);
+    }
+}
+
+static void
+send_hello(struct mesh_link *link)
+{
+    struct mesh *mesh = link->mesh;
+    Parsleyspur__Hello hello = PARSLEYSPUR__HELLO__INIT;
+    GByteArray *frames = g_byte_array_new();
+    uint8_t packed[512];
+    size_t len;
+
+    hello.version = MESH_VERSION;
+    hello.cluster = mesh->settings->cluster;
+    hello.name = mesh->settings->name;
+    hello.zone = mesh->settings->zone;
+    hello.address = mesh->settings->address.address;
+    hello.incarnation = mesh->incarnation;
+    len = parsleyspur__hello__pack(&hello, packed);
+    frame_append(frames, PEER_HELLO, packed, len);
+    mesh_write(mesh, &link->tcp, frames);
+}
+
+static void
+on_connect(uv_connect_t *connect, int status)
+{
+    struct mesh_link *link = connect->data;
+
+    if (status == UV_ECANCELED) {
+        return;
+    }
+    if (status != 0) {
+        drop(link);
+        return;
+    }
+    send_hello(link);
+    uv_timer_start(&link->retry, on_retry, MESH_HELLO_MS, 0);
+    uv_read_start((uv_stream_t *)&link->tcp, mesh_alloc, on_read);
+}
+
+/* Read the hello's answer; false if the connection must be dropped. */
+static bool
+take_answer(struct mesh_link *link)
+{
+    struct frame frame;
+    size_t used;
+    Parsleyspur__HelloAnswer *answer;
+    bool accepted;
+
+    switch (frame_next(link->input->data, link->input->len, &frame, &used)) {
+    case FRAME_PARTIAL:
+        return true;
+    case FRAME_BAD:
+    case FRAME__MAX:
+        return false;
+    case FRAME_READY:
+        break;
+    }
+    if (link->greeted || frame.channel != PEER_HELLO_ANSWER) {
+        return false;
+    }
+    answer = parsleyspur__hello_answer__unpack(NULL, frame.len, frame.payload);
+    if (answer == NULL) {
+        return false;
+    }
+    accepted = answer->accepted;
+    if (!accepted) {
+        counter_add(link->mesh->counters, COUNTER_PEER_REFUSED, 1);
+        log_state(G_LOG_LEVEL_WARNING, "peer refused the connection", "reason",
+                  answer->reason, NULL);
+    }
+    parsleyspur__hello_answer__free_unpacked(answer, NULL);
+    g_byte_array_set_size(link->input, 0);
+    return accepted;
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buffer)
+{
+    struct mesh_link *link = stream->data;
+    GByteArray *waiting;
+
+    if (len > 0) {
+        g_byte_array_append(link->input, (const guint8 *)buffer->base,
+                            (guint)len);
+    }
+    g_free(buffer->base);
+    if (len < 0 || (len > 0 && !take_answer(link))) {
+        drop(link);
+        return;
+    }
+    if (len <= 0 || link->input->len > 0) {
+        return;
+    }
+    link->greeted = true;
+    link->retry_ms = MESH_RETRY_MIN_MS;
+    uv_timer_stop(&link->retry);
+    if (link->queue->len > 0) {
+        waiting = link->queue;
+        link->queue = g_byte_array_new();
+        mesh_write(link->mesh, &link->tcp, waiting);
+    }
+}
+
+/* Send, or queue until the hello is answered.  False if too much waits. */
+bool
+mesh_link_send(struct mesh_link *link, enum peer_channel channel,
+               const uint8_t *payload, size_t len)
+{
+    if (link->closing) {
+        return false;
+    }
+    if (link->greeted) {
+        GByteArray *frames =
+            g_byte_array_sized_new((guint)(FRAME_HEADER_LEN + len));
+
+        frame_append(frames, channel, payload, len);
+        return mesh_write(link->mesh, &link->tcp, frames);
+    }
+    if (link->queue->len + len > MESH_QUEUE_MAX) {
+        counter_add(link->mesh->counters, COUNTER_PEER_QUEUE_FULL, 1);
+        return false;
+    }
+    frame_append(link->queue, channel, payload, len);
+    if (!link->open) {
+        dial(link);
+    }
+    return true;
+}
--- /dev/null
+++ b/src/peer/mesh_private.h
@@ -0,0 +1,69 @@
+/* What the files of the mesh share. */
+#ifndef PS_PEER_MESH_PRIVATE_H
+#define PS_PEER_MESH_PRIVATE_H
+
+#include "peer/mesh.h"
+
+#define MESH_VERSION       1
+#define MESH_QUEUE_MAX     (8U << 20) /* bytes waiting for one peer */
+#define MESH_RETRY_MIN_MS  100
+#define MESH_RETRY_MAX_MS  2000
+#define MESH_HELLO_MS      3000 /* time limit of a hello and its answer */
+#define MESH_ACCEPTED_MAX  1024 /* connections of peers at once */
+#define MESH_DATAGRAM_HEAD 14   /* bytes: version, channel, cluster, id */
+
+/* A connection that this daemon opened to a peer. */
+struct mesh_link {
+    struct mesh *mesh;
+    struct daemon_id id;
+    uint32_t address;
+    uv_tcp_t tcp;
+    uv_connect_t connect;
+    uv_timer_t retry;
+    bool open;    /* tcp is initialised and not closing */
+    bool greeted; /* the hello was answered */
+    bool closing; /* the mesh is being closed */
+    unsigned retry_ms;
+    GByteArray *queue; /* frames that wait for the hello's answer */
+    GByteArray *input;
+};
+
+/* A connection that a peer opened to this daemon. */
+struct mesh_accepted {
+    struct mesh *mesh;
+    uv_tcp_t tcp;
+    uv_timer_t limit;
+    bool greeted;
+    unsigned open_handles;
+    struct mesh_sender sender;
+    GByteArray *input;
+};
+
+struct mesh {
+    uv_loop_t *loop;
+    const struct settings *settings;
+    uint64_t incarnation;
+    struct counters *counters;
+    struct mesh_handlers handlers;
+    uint32_t cluster;
+    struct daemon_id self;
+    uv_tcp_t listener;
+    uv_udp_t udp;
+    uint8_t *udp_buffer;
+    GHashTable *links;    /* id -> struct mesh_link */
+    GHashTable *accepted; /* set of struct mesh_accepted */
+};
+
+struct settings_endpoint mesh_way_to(const struct mesh *, uint32_t address);
+void mesh_sockaddr(struct settings_endpoint, struct sockaddr_in *);
+bool mesh_write(struct mesh *, uv_tcp_t *, GByteArray *frames);
+void mesh_alloc(uv_handle_t *, size_t, uv_buf_t *);
+
+void mesh_on_accept(uv_stream_t *, int status);
+void mesh_accepted_close(struct mesh_accepted *);
+struct mesh_link *mesh_link_new(struct mesh *, struct daemon_id);
+void mesh_link_close(struct mesh_link *);
+bool mesh_link_send(struct mesh_link *, enum peer_channel, const uint8_t *,
+                    size_t);
+
+#endif
