--- a/tests/stand-ins/lib_target.h
+++ b/tests/stand-ins/lib_target.h
@@ -73,6 +73,9 @@
     atomic_int load_mode;
 };
 
+void target_init(struct target *);
+void target_set_state(struct target *, enum announced_state);
+
 /* Check the tag of a packet; a packet of another service is recorded. */
 bool target_tag(struct target *, const struct geneve_packet *, struct tag *);
 void target_send_tcp(struct target *, struct geneve_build *);
--- a/tests/stand-ins/target.c
+++ b/tests/stand-ins/target.c
@@ -16,15 +16,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/hash.h"
 #include "lib_control.h"
 
 #define DRAIN_POLL_MS 50
 
 static void options_parse(int, char **, struct target_options *);
-static void recv_cb(void *, struct net_udp *, struct net_address,
-                    const uint8_t *, size_t);
-static void set_state(struct target *, enum announced_state);
 static void signal_cb(uv_signal_t *, int);
 static void drain_cb(uv_timer_t *);
 static void command_state(void *, const char *, GString *);
@@ -34,7 +30,6 @@
 static void command_fault(void *, const char *, GString *);
 static void command_clear(void *, const char *, GString *);
 static void command_status(void *, const char *, GString *);
-static void target_init(struct target *);
 
 static const struct control_command commands[] = {
     {"state", command_state},       /* ready, cold or draining */
@@ -99,106 +94,6 @@
     }
 }
 
-/* Read the payload's tag; record a packet of another service. */
-bool
-target_tag(struct target *target, const struct geneve_packet *packet,
-           struct tag *tag)
-{
-    if (!tag_read(packet->payload, packet->payload_len, tag)) {
-        target->malformed++;
-        ledger_write(target->ledger, "malformed", target_flow_json(packet));
-        return false;
-    }
-    if (tag->service != target->service) {
-        target->wrong_service++;
-        ledger_write(target->ledger, "wrong_service",
-                     target_flow_json(packet));
-        return false;
-    }
-    return true;
-}
-
-/* The caller's side of PACKET, for a ledger. */
-json_t *
-target_flow_json(const struct geneve_packet *packet)
-{
-    struct net_address src = {packet->src, packet->src_port};
-    struct net_address dst = {packet->dst, packet->dst_port};
-    char caller[NET_TEXT_MAX], service[NET_TEXT_MAX];
-
-    net_format(src, caller, sizeof(caller));
-    net_format(dst, service, sizeof(service));
-    return json_pack("{s:s,s:s}", "flow", caller, "to", service);
-}
-
-void
-target_send_tcp(struct target *target, struct geneve_build *build)
-{
-    uint8_t data[GENEVE_HEADER_MAX + TAG_LEN_MAX + 64];
-    size_t len = geneve_build_tcp(data, sizeof(data), build);
-
-    path_send(&target->out, target->udp, target->ip, target->up.ip, target->up,
-              data, len);
-}
-
-void
-target_send_udp(struct target *target, struct geneve_build *build)
-{
-    uint8_t data[GENEVE_HEADER_MAX + TAG_LEN_MAX + 64];
-    size_t len = geneve_build_udp(data, sizeof(data), build);
-
-    path_send(&target->out, target->udp, target->ip, target->up.ip, target->up,
-              data, len);
-}
-
-bool
-target_chance(struct target *target, double percent)
-{
-    return percent > 0 && g_rand_double(target->random) * 100 < percent;
-}
-
-static void
-recv_cb(void *arg, struct net_udp *udp, struct net_address from,
-        const uint8_t *data, size_t len)
-{
-    struct target *target = arg;
-    struct fault_verdict verdict;
-    struct geneve_packet packet;
-    struct call_option option;
-
-    (void)udp;
-    fault_judge(target->in.rules, from.ip, target->ip, &verdict);
-    if (verdict.copies == 0) {
-        target->in.counters.lost++;
-        return;
-    }
-    target->in.counters.passed++;
-    if (geneve_decode(data, len, &packet) != GENEVE_OK) {
-        target->malformed++;
-    }
-    else if (packet.call != NULL &&
-             call_option_decode(packet.call, packet.call_len, &option)) {
-        target_calls_packet(target->calls, from, &packet, &option);
-    }
-    else if (packet.protocol == IPPROTO_TCP) {
-        target_streams_packet(target->streams, &packet);
-    }
-    else {
-        target->malformed++;
-    }
-}
-
-static void
-set_state(struct target *target, enum announced_state state)
-{
-    target->state = state;
-    ledger_write(target->ledger, "state",
-                 json_pack("{s:s,s:s,s:s}", "state", target_state_name(state),
-                           "target", target->options.address, "pool",
-                           target->options.pool));
-    target_announce_now(target);
-}
-
 static void
 signal_cb(uv_signal_t *handle, int number)
 {
@@ -209,7 +104,7 @@
     if (target->state == ANNOUNCED_DRAINING) {
         exit(0);
     }
-    set_state(target, ANNOUNCED_DRAINING);
+    target_set_state(target, ANNOUNCED_DRAINING);
     uv_timer_init(target->loop, timer);
     timer->data = target;
     uv_timer_start(timer, drain_cb, DRAIN_POLL_MS, DRAIN_POLL_MS);
@@ -232,7 +127,7 @@
     for (int state = 0; state < ANNOUNCED__MAX; state++) {
         if (strcmp(rest, target_state_name((enum announced_state)state)) ==
             0) {
-            set_state(arg, (enum announced_state)state);
+            target_set_state(arg, (enum announced_state)state);
             g_string_append(reply, "ok");
             return;
         }
@@ -327,36 +222,10 @@
         target->announced, target->announce_failed);
 }
 
-/* Fill in what follows from the options. */
-static void
-target_init(struct target *target)
-{
-    struct target_options *options = &target->options;
-
-    if (!net_parse_ip(options->address, &target->ip)) {
-        net_die("--address: got \"%s\", expected A.B.C.D", options->address);
-    }
-    target->loop = uv_default_loop();
-    target->up = net_parse_or_die("up", options->up);
-    target->service = hash_string(options->pool);
-    target->random = g_rand_new_with_seed((guint32)options->seed);
-    target->in.loop = target->loop;
-    target->in.rules = fault_rules_new((uint32_t)options->seed);
-    target->out.loop = target->loop;
-    target->out.rules = fault_rules_new((uint32_t)options->seed);
-    target->modes.service_ms = options->service_ms;
-    target->modes.late_ms = 1500;
-    target->ledger = ledger_open(options->ledger);
-    target->streams = target_streams_new(target);
-    target->calls = target_calls_new(target);
-    target->udp = g_new0(struct net_udp, 1);
-}
-
 int
 main(int argc, char **argv)
 {
     struct target target;
-    struct net_address local;
     uv_signal_t term;
 
     memset(&target, 0, sizeof(target));
@@ -373,14 +242,11 @@
     };
     options_parse(argc, argv, &target.options);
     target_init(&target);
-    local.ip = target.ip;
-    local.port = GENEVE_PORT;
-    net_udp_open(target.loop, target.udp, local, recv_cb, &target);
     target_http_start(&target);
     uv_signal_init(target.loop, &term);
     term.data = &target;
     uv_signal_start(&term, signal_cb, SIGTERM);
-    set_state(&target, ANNOUNCED_READY);
+    target_set_state(&target, ANNOUNCED_READY);
     target_announce_start(&target);
     if (target.options.control != NULL || target.options.script != NULL) {
         struct control *control = control_new(target.loop, commands, &target);
