--- /dev/null
+++ b/tests/script/lib.sh
@@ -0,0 +1,306 @@
+# Shared steps of the scripted runs.  A run is a folder with run.sh and
+# expected.txt; run.sh sources this file, starts what it needs, and prints
+# what must be the same each time.  Everything lives on one free block of
+# loopback addresses, 127.B.x.y, and ends with the run.
+#
+#   127.B.Z.N      daemon N of zone Z          127.B.9.1  fabric, up
+#   127.B.1Z.N     target N of zone Z          127.B.9.2  fabric, down
+#   127.B.30.N     callers N                   127.B.1xx.y  ways between daemons
+#
+# shellcheck shell=bash
+set -u
+ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+STANDINS=$ROOT/build/tests/stand-ins
+BIN=$ROOT/build/parsleyspur
+RUN_NAME=${RUN_NAME:-$(basename "$(cd "$(dirname "$0")" && pwd)")}
+RUN_DIR=$ROOT/build/log/runs/$RUN_NAME
+CONTROL_PORT=7000
+CLUSTER=proof
+SEED=${SEED:-1}
+
+declare -A PID IP CONTROL ZONE_OF ROLES_OF INDEX
+declare -a DAEMONS TARGETS CALLERS
+declare -a ZONES
+
+# Take a block of addresses that no other run holds.
+block_take() {
+    local first
+    first=$(($(printf '%s' "$ROOT$RUN_NAME" | cksum | cut -d' ' -f1) % 230))
+    for i in $(seq 0 229); do
+        B=$((16 + (first + i) % 230))
+        exec {BLOCK_FD}>"/tmp/parsleyspur-block-$B.lock"
+        flock -n "$BLOCK_FD" && return
+        exec {BLOCK_FD}>&-
+    done
+    echo "no free block of addresses" >&2
+    exit 1
+}
+
+# Start a program under NAME; its output goes to the run's folder.
+start() { # NAME PROGRAM ARGUMENT...
+    local name=$1
+    shift
+    "$@" >>"$RUN_DIR/$name.log" 2>&1 {BLOCK_FD}>&- &
+    PID[$name]=$!
+}
+
+# End every process of this run, and nothing else.
+finish() {
+    local pid
+    for pid in "${PID[@]}"; do
+        kill -CONT "$pid" 2>/dev/null
+        kill -9 "$pid" 2>/dev/null
+    done
+    wait 2>/dev/null
+}
+
+is_running() { # NAME
+    kill -0 "${PID[$1]}" 2>/dev/null
+}
+
+# Send SIGTERM and wait until NAME has ended; prints its exit status.
+stop() { # NAME [SECONDS]
+    local name=$1 limit=${2:-20} status
+    kill -TERM "${PID[$name]}"
+    if wait_for "$limit" not is_running "$name"; then
+        wait "${PID[$name]}" 2>/dev/null
+        status=$?
+        echo "$name ended with status $status"
+    else
+        echo "$name has not ended in $limit s"
+    fi
+}
+
+kill_hard() { # NAME
+    kill -9 "${PID[$1]}" 2>/dev/null
+    wait "${PID[$1]}" 2>/dev/null
+}
+
+not() {
+    ! "$@"
+}
+
+# Try a command until it succeeds; false after SECONDS.
+wait_for() { # SECONDS COMMAND...
+    local end=$(($(date +%s) + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        [ "$(date +%s)" -lt "$end" ] || return 1
+        sleep 0.05
+    done
+}
+
+port_open() { # ADDRESS PORT
+    (exec 3<>"/dev/tcp/$1/$2") 2>/dev/null
+}
+
+# Give a command to a stand-in; prints its reply.
+ctl() { # NAME COMMAND...
+    local name=$1 fd
+    shift
+    exec {fd}<>"/dev/tcp/${CONTROL[$name]}/$CONTROL_PORT" || return 1
+    echo "$*" >&"$fd"
+    cat <&"$fd"
+    exec {fd}>&-
+}
+
+# One number of a stand-in's status.
+value() { # NAME KEY
+    ctl "$1" status | tr ' ' '\n' | sed -n "s/^$2=//p"
+}
+
+at_least() { # NAME KEY NUMBER
+    local seen
+    seen=$(value "$1" "$2")
+    [ -n "$seen" ] && [ "$seen" -ge "$3" ]
+}
+
+zone_index() { # ZONE
+    local i
+    for i in "${!ZONES[@]}"; do
+        [ "${ZONES[$i]}" = "$1" ] && echo $((i + 1)) && return
+    done
+    ZONES+=("$1")
+    echo ${#ZONES[@]}
+}
+
+# Name the daemons of the run: NAME:ZONE:ROLES each.
+layout() { # NAME:ZONE:ROLES...
+    local spec name zone roles z
+    declare -A count=()
+    for spec in "$@"; do
+        IFS=: read -r name zone roles <<<"$spec"
+        z=$(zone_index "$zone")
+        [ "$z" -le "${#ZONES[@]}" ] && [ "${ZONES[$((z - 1))]:-}" = "$zone" ] ||
+            ZONES+=("$zone")
+        count[$zone]=$((${count[$zone]:-0} + 1))
+        DAEMONS+=("$name")
+        INDEX[$name]=${#DAEMONS[@]}
+        ZONE_OF[$name]=$zone
+        ROLES_OF[$name]=$roles
+        IP[$name]=127.$B.$z.${count[$zone]}
+    done
+}
+
+via() { # FROM TO: the proxy's address for that way
+    echo "127.$B.$((100 + INDEX[$1])).${INDEX[$2]}"
+}
+
+# Start the fabric, with ways between all daemons of the layout.
+fabric_start() { # ARGUMENT...
+    local a b args=()
+    for a in "${DAEMONS[@]}"; do
+        case ${ROLES_OF[$a]} in
+        *entry*) args+=(--entry "${IP[$a]}:6081") ;;
+        esac
+        for b in "${DAEMONS[@]}"; do
+            [ "${INDEX[$a]}" -lt "${INDEX[$b]}" ] || continue
+            args+=(--way "${IP[$a]},${IP[$b]},$(via "$a" "$b"),$(via "$b" "$a")")
+        done
+    done
+    CONTROL[fabric]=127.$B.9.1
+    start fabric "$STANDINS/fabric" --up "127.$B.9.1:6081" \
+        --down "127.$B.9.2:6081" --control "127.$B.9.1:$CONTROL_PORT" \
+        --seed "$SEED" "${args[@]}" "$@"
+    wait_for 5 port_open "127.$B.9.1" "$CONTROL_PORT"
+}
+
+joined() { # items joined by commas
+    local IFS=,
+    echo "$*"
+}
+
+# Start a daemon of the layout; a control daemon keeps its data folder.
+daemon_start() { # NAME ARGUMENT...
+    local name=$1 other peers=() voters=() map=()
+    shift
+    for other in "${DAEMONS[@]}"; do
+        case ${ROLES_OF[$other]} in
+        *control*) voters+=("$other=${IP[$other]}") ;;
+        esac
+        [ "$other" = "$name" ] && continue
+        peers+=("${IP[$other]}")
+        map+=("${IP[$other]}=$(via "$name" "$other"):7946")
+    done
+    local args=(--name "$name" --zone "${ZONE_OF[$name]}"
+        --address "${IP[$name]}" --roles "${ROLES_OF[$name]}"
+        --fabric "127.$B.9.2:6081" --admin "${IP[$name]}:8080"
+        --token-file "$RUN_DIR/token" --cluster "$CLUSTER"
+        --data-dir "$RUN_DIR/data-$name")
+    mkdir -p "$RUN_DIR/data-$name"
+    if [ ${#peers[@]} -gt 0 ]; then
+        args+=(--peers "$(joined "${peers[@]}")"
+            --voters "$(joined "${voters[@]}")"
+            --peer-map "$(joined "${map[@]}")")
+    fi
+    start "$name" "$BIN" serve "${args[@]}" "$@"
+}
+
+daemons_start() { # ARGUMENT...
+    local name
+    for name in "${DAEMONS[@]}"; do
+        daemon_start "$name" "$@"
+    done
+    for name in "${DAEMONS[@]}"; do
+        wait_for 10 port_open "${IP[$name]}" 8080 ||
+            echo "$name does not answer"
+    done
+}
+
+# Start a target; ADDRESS defaults to a new one of the zone.
+target_start() { # NAME POOL ZONE ARGUMENT...
+    local name=$1 pool=$2 zone=$3 z other announce=()
+    shift 3
+    if [ -z "${IP[$name]:-}" ]; then
+        z=$(zone_index "$zone")
+        TARGETS+=("$name")
+        IP[$name]=127.$B.$((10 + z)).${#TARGETS[@]}
+    fi
+    for other in "${DAEMONS[@]:-}"; do
+        [ -n "$other" ] && [ "${ZONE_OF[$other]}" = "$zone" ] &&
+            announce+=(--announce-to "${IP[$other]}:8080")
+    done
+    CONTROL[$name]=${IP[$name]}
+    start "$name" "$STANDINS/target" --pool "$pool" --address "${IP[$name]}" \
+        --zone "$zone" --up "${TARGET_UP:-127.$B.9.1:6081}" \
+        --control "${IP[$name]}:$CONTROL_PORT" --seed "$SEED" \
+        --ledger "$RUN_DIR/$name.ledger" "${announce[@]}" "$@"
+    wait_for 5 port_open "${IP[$name]}" "$CONTROL_PORT"
+}
+
+# Start callers of POOL by the route at TO, an inner address and port.
+caller_start() { # NAME POOL TO ARGUMENT...
+    local name=$1 pool=$2 to=$3 number
+    shift 3
+    CALLERS+=("$name")
+    number=${#CALLERS[@]}
+    CONTROL[$name]=127.$B.30.$number
+    start "$name" "$STANDINS/caller" --service "$pool" --to "$to" \
+        --fabric "127.$B.9.1:6081" --listen "127.$B.30.$number:6081" \
+        --control "127.$B.30.$number:$CONTROL_PORT" \
+        --inner "10.$((100 + number)).0.1" --seed "$((SEED + number))" \
+        --ledger "$RUN_DIR/$name.ledger" "$@"
+    wait_for 5 port_open "127.$B.30.$number" "$CONTROL_PORT"
+}
+
+# Close all that the callers hold and wait until they have ended.
+callers_stop() {
+    local name
+    for name in "${CALLERS[@]}"; do
+        ctl "$name" status >>"$RUN_DIR/$name.status"
+        ctl "$name" stop >/dev/null
+    done
+    for name in "${CALLERS[@]}"; do
+        wait_for 60 not is_running "$name" || echo "$name has not ended"
+    done
+}
+
+# Run the command line against SERVER (a daemon's name, CLI_AT or the first).
+cli() {
+    local at=${CLI_AT:-${DAEMONS[0]}}
+    timeout 20 "$BIN" "$@" --server "http://${IP[$at]}:8080" \
+        --token-file "$RUN_DIR/token" 2>&1 | sed "s/127\.$B\./127.B./g"
+    return "${PIPESTATUS[0]}"
+}
+
+# The same, trying again while no leader is there; prints only failures.
+edit() {
+    local out
+    for _ in $(seq 40); do
+        out=$(cli "$@") && return 0
+        sleep 0.25
+    done
+    echo "edit failed: $*: $out"
+    return 1
+}
+
+# Join the ledgers; prints one line a promise.
+check_ledger() { # ARGUMENT...
+    "$STANDINS/check-ledger" "$@" "$RUN_DIR"/*.ledger \
+        2>"$RUN_DIR/check-ledger.log"
+}
+
+# Print only the promises that were broken.
+broken_promises() { # ARGUMENT...
+    if check_ledger "$@" >"$RUN_DIR/promises.txt"; then
+        echo "no promise broken"
+    else
+        grep -v -e ': 0$' -e ': at most' "$RUN_DIR/promises.txt"
+        head -n 40 "$RUN_DIR/check-ledger.log" >&2
+    fi
+}
+
+# A counter of a daemon, summed over its labels.
+metric() { # NAME METRIC
+    curl -s --noproxy '*' --max-time 2 "http://${IP[$1]}:8080/metrics" |
+        awk -v name="$2" '{ split($1, part, "{") }
+            part[1] == name { sum += $2 } END { print sum + 0 }'
+}
+
+rm -rf "$RUN_DIR"
+mkdir -p "$RUN_DIR"
+block_take
+head -c 24 /dev/urandom | base64 >"$RUN_DIR/token"
+chmod 600 "$RUN_DIR/token"
+trap finish EXIT
+trap 'exit 143' TERM INT
