--- a/tests/stand-ins/lib_fault.c
+++ b/tests/stand-ins/lib_fault.c
@@ -116,7 +116,7 @@
         if (strncmp(text, fields[i].name, len) != 0 || text[len] != '=') {
             continue;
         }
-        *(double *)((char *)rule + fields[i].offset) =
+        *(double *)(void *)((char *)rule + fields[i].offset) =
             g_ascii_strtod(text + len + 1, &end);
         return end != text + len + 1 && *end == '\0';
     }
--- a/tests/stand-ins/target.c
+++ b/tests/stand-ins/target.c
@@ -149,7 +149,8 @@
 
             if (strncmp(words[i], mode_fields[j].name, len) == 0 &&
                 words[i][len] == '=') {
-                *(double *)((char *)&target->modes + mode_fields[j].offset) =
+                *(double *)(void *)((char *)&target->modes +
+                                    mode_fields[j].offset) =
                     g_ascii_strtod(words[i] + len + 1, NULL);
                 valid = true;
             }
