--- /dev/null
+++ b/src/peer/flow_wire.h
@@ -0,0 +1,16 @@
+/* Flow messages between their plain struct and their bytes. */
+#ifndef PS_PEER_FLOW_WIRE_H
+#define PS_PEER_FLOW_WIRE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "flow/flow_message.h"
+
+void flow_wire_pack(const struct flow_message *, GByteArray *);
+bool flow_wire_unpack(const uint8_t *, size_t, struct flow_message *);
+
+#endif
