--- /dev/null
+++ b/src/table/table_core.c
@@ -0,0 +1,388 @@
+/* Committed commands applied to the tables, and look-ups in them. */
+#include "table/table_core.h"
+
+#include <string.h>
+
+#include "table/table_state.h"
+
+static void apply_edit(struct table_core *, const struct table_edit *,
+                       struct table_result *);
+static void apply_epoch(struct table_core *, const struct table_epoch *,
+                        struct table_result *);
+static bool check_base(const struct table_core *, const struct table_edit *,
+                       struct table_result *);
+static bool check_delete(const struct table_core *, const struct table_edit *,
+                         struct table_result *);
+static bool check_edit(const struct table_core *, const struct table_edit *,
+                       struct table_result *);
+static bool check_room(const struct table_core *, enum table_kind,
+                       struct table_result *);
+static bool check_set_pool(const struct table_core *,
+                           const struct table_pool *, struct table_result *);
+static bool check_set_route(const struct table_core *,
+                            const struct table_route *, struct table_result *);
+static void refuse_missing_pool(const struct table_core *,
+                                const struct table_route *,
+                                struct table_result *);
+static const struct table_row *route_to(const struct table_core *,
+                                        const char *);
+
+/*
+ * Apply the committed command of LEN bytes at DATA with log index INDEX and
+ * fill RESULT.  Returns false, changing nothing, if INDEX has been applied
+ * before.  Bytes that are no command are refused, alike on every replica.
+ */
+bool
+table_core_apply(struct table_core *core, uint64_t index, const uint8_t *data,
+                 size_t len, struct table_result *result)
+{
+    struct table_command command;
+
+    memset(result, 0, sizeof(*result));
+    result->version = core->position.version;
+    if (index <= core->applied) {
+        return false;
+    }
+    core->applied = index;
+    if (!table_wire_unpack_command(data, len, &command)) {
+        table_result_refuse(result, TABLE_MALFORMED,
+                            "%zu bytes are no command of this version; "
+                            "use programs of one release",
+                            len);
+        return true;
+    }
+    switch (command.kind) {
+    case TABLE_COMMAND_EDIT:
+        apply_edit(core, &command.u.edit, result);
+        break;
+    case TABLE_COMMAND_CALL_EPOCH:
+        apply_epoch(core, &command.u.call_epoch, result);
+        break;
+    case TABLE_COMMAND__MAX:
+        break;
+    }
+    table_command_clear(&command);
+    return true;
+}
+
+static void
+apply_edit(struct table_core *core, const struct table_edit *edit,
+           struct table_result *result)
+{
+    struct table_row row = edit->row; /* owns nothing */
+    bool remove = edit->operation == TABLE_DELETE;
+
+    if (table_answers_find(core, edit->id, result)) {
+        return;
+    }
+    if (check_edit(core, edit, result)) {
+        core->position.version++;
+        row.version = core->position.version;
+        result->version = row.version;
+        if (remove) {
+            table_state_remove(core, row.kind, table_row_name(&row));
+        }
+        else {
+            table_state_set(core, &row);
+        }
+        table_state_record(core, remove, &row);
+    }
+    if (edit->id[0] != '\0' && result->reason != TABLE_TOO_OLD) {
+        table_answers_add(core, edit->id, result);
+    }
+}
+
+static bool
+check_edit(const struct table_core *core, const struct table_edit *edit,
+           struct table_result *result)
+{
+    if (!table_edit_check(edit, result) || !check_base(core, edit, result)) {
+        return false;
+    }
+    if (edit->operation == TABLE_DELETE) {
+        return check_delete(core, edit, result);
+    }
+    if (edit->row.kind == TABLE_POOL) {
+        return check_set_pool(core, &edit->row.u.pool, result);
+    }
+    return check_set_route(core, &edit->row.u.route, result);
+}
+
+/*
+ * An edit is taken only on the current version, so that an accepted one can
+ * never be applied again, also when its answer is no longer kept.
+ */
+static bool
+check_base(const struct table_core *core, const struct table_edit *edit,
+           struct table_result *result)
+{
+    uint64_t current = core->position.version;
+
+    if (edit->base_version == current) {
+        return true;
+    }
+    if (edit->base_version < core->answers_floor) {
+        table_result_refuse(result, TABLE_TOO_OLD,
+                            "edit %s is built on version %" G_GUINT64_FORMAT
+                            ", too old to know whether it was answered; "
+                            "read the row at version %" G_GUINT64_FORMAT
+                            " and edit that if needed",
+                            edit->id, edit->base_version, current);
+        return false;
+    }
+    table_result_refuse(result, TABLE_CONFLICT,
+                        "edit %s is built on version %" G_GUINT64_FORMAT
+                        ", but the current one is %" G_GUINT64_FORMAT
+                        "; read the row again and send a new edit",
+                        edit->id, edit->base_version, current);
+    return false;
+}
+
+static bool
+check_delete(const struct table_core *core, const struct table_edit *edit,
+             struct table_result *result)
+{
+    enum table_kind kind = edit->row.kind;
+    const char *name = table_row_name(&edit->row);
+    const struct table_row *route;
+
+    if (table_core_row(core, kind, name) == NULL) {
+        table_result_refuse(result, TABLE_NO_SUCH_ROW,
+                            "%s %s does not exist; list the %ss for their "
+                            "names",
+                            table_kind_name(kind), name,
+                            table_kind_name(kind));
+        return false;
+    }
+    route = kind == TABLE_POOL ? route_to(core, name) : NULL;
+    if (route == NULL) {
+        return true;
+    }
+    table_result_refuse(result, TABLE_POOL_IN_USE,
+                        "pool %s is still named by route %s; delete the "
+                        "route or point it to another pool first",
+                        name, route->u.route.name);
+    return false;
+}
+
+static bool
+check_room(const struct table_core *core, enum table_kind kind,
+           struct table_result *result)
+{
+    uint32_t max = kind == TABLE_POOL ? core->options.pools_max
+                                      : core->options.routes_max;
+
+    if (table_core_count(core, kind) < max) {
+        return true;
+    }
+    table_result_refuse(result, TABLE_FULL,
+                        "there are %u %ss already, the most there may be; "
+                        "delete one first",
+                        max, table_kind_name(kind));
+    return false;
+}
+
+static bool
+check_set_pool(const struct table_core *core, const struct table_pool *pool,
+               struct table_result *result)
+{
+    const struct table_row *other;
+
+    if (table_core_row(core, TABLE_POOL, pool->name) != NULL) {
+        return true;
+    }
+    other = table_core_pool(core, view_pool_id(pool->name));
+    if (other != NULL) {
+        table_result_refuse(result, TABLE_BAD_NAME,
+                            "pool %s has the same hash as pool %s; give it "
+                            "another name",
+                            pool->name, other->u.pool.name);
+        return false;
+    }
+    return check_room(core, TABLE_POOL, result);
+}
+
+static bool
+check_set_route(const struct table_core *core, const struct table_route *route,
+                struct table_result *result)
+{
+    const GPtrArray *routes;
+
+    if (table_core_row(core, TABLE_POOL, route->pool) == NULL) {
+        refuse_missing_pool(core, route, result);
+        return false;
+    }
+    routes =
+        g_hash_table_lookup(core->addresses, GUINT_TO_POINTER(route->address));
+    for (guint i = 0; routes != NULL && i < routes->len; i++) {
+        const struct table_row *row = routes->pdata[i];
+        const struct table_route *other = &row->u.route;
+
+        if (strcmp(other->name, route->name) == 0) {
+            continue;
+        }
+        if (other->port == route->port || other->port == 0 ||
+            route->port == 0) {
+            table_result_refuse(result, TABLE_ADDRESS_TAKEN,
+                                "route %s: address and port (%u) are taken "
+                                "by route %s with port %u, 0 being all; "
+                                "change or delete that one first",
+                                route->name, route->port, other->name,
+                                other->port);
+            return false;
+        }
+    }
+    if (table_core_row(core, TABLE_ROUTE, route->name) != NULL) {
+        return true;
+    }
+    return check_room(core, TABLE_ROUTE, result);
+}
+
+static void
+refuse_missing_pool(const struct table_core *core,
+                    const struct table_route *route,
+                    struct table_result *result)
+{
+    GTreeNode *node = g_tree_node_first(core->rows[TABLE_POOL]);
+    GString *names = g_string_new(NULL);
+
+    while (node != NULL && names->len < TABLE_NAME_MAX) {
+        g_string_append_printf(names, "%s%s", names->len != 0 ? ", " : "",
+                               (const char *)g_tree_node_key(node));
+        node = g_tree_node_next(node);
+    }
+    table_result_refuse(result, TABLE_POOL_MISSING,
+                        "route %s: pool \"%s\" does not exist; create it "
+                        "first%s%s%s",
+                        route->name, route->pool,
+                        names->len != 0 ? " or name one of: " : "", names->str,
+                        node != NULL ? ", ..." : "");
+    g_string_free(names, TRUE);
+}
+
+/* A route that names POOL, or NULL. */
+static const struct table_row *
+route_to(const struct table_core *core, const char *pool)
+{
+    GTreeNode *node = g_tree_node_first(core->rows[TABLE_ROUTE]);
+
+    for (; node != NULL; node = g_tree_node_next(node)) {
+        const struct table_row *row = g_tree_node_value(node);
+
+        if (strcmp(row->u.route.pool, pool) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+/*
+ * Compare and set the call epoch of a pool.  A command that says what is so
+ * already, resent after a lost answer, is accepted again.
+ */
+static void
+apply_epoch(struct table_core *core, const struct table_epoch *wanted,
+            struct table_result *result)
+{
+    struct table_epoch current;
+    struct table_epoch next = *wanted;
+
+    if (table_core_pool(core, wanted->pool) == NULL) {
+        table_result_refuse(result, TABLE_POOL_MISSING,
+                            "no pool has the id %016" G_GINT64_MODIFIER
+                            "x; take the tables' current version first",
+                            wanted->pool.value);
+        return;
+    }
+    table_core_epoch(core, wanted->pool, &current);
+    next.epoch = current.epoch;
+    result->epoch = current.epoch;
+    if (current.epoch != 0 && memcmp(&next, &current, sizeof(next)) == 0) {
+        result->repeated = true;
+        return;
+    }
+    if (wanted->previous != current.epoch) {
+        table_result_refuse(result, TABLE_EPOCH_CHANGED,
+                            "call epoch %" G_GUINT64_FORMAT
+                            " was expected, but %" G_GUINT64_FORMAT
+                            " is current; take that one and try again",
+                            wanted->previous, current.epoch);
+        return;
+    }
+    core->position.epoch++;
+    next.epoch = core->position.epoch;
+    result->epoch = next.epoch;
+    table_state_set_epoch(core, &next);
+}
+
+/* The log index of the last command that the tables hold. */
+uint64_t
+table_core_applied(const struct table_core *core)
+{
+    return core->applied;
+}
+
+/* The tables' version and last call epoch. */
+struct table_position
+table_core_position(const struct table_core *core)
+{
+    return core->position;
+}
+
+/* The number of rows in the table of KIND. */
+size_t
+table_core_count(const struct table_core *core, enum table_kind kind)
+{
+    return (size_t)g_tree_nnodes(core->rows[kind]);
+}
+
+/* The row of KIND called NAME, or NULL; valid until the tables change. */
+const struct table_row *
+table_core_row(const struct table_core *core, enum table_kind kind,
+               const char *name)
+{
+    return g_tree_lookup(core->rows[kind], name);
+}
+
+/* The row of the pool with ID, or NULL; valid until the tables change. */
+const struct table_row *
+table_core_pool(const struct table_core *core, struct pool_id id)
+{
+    return g_hash_table_lookup(core->pool_ids, &id.value);
+}
+
+/* Call VISIT with DATA for each row of KIND, in the order of their names. */
+void
+table_core_each(const struct table_core *core, enum table_kind kind,
+                table_visit visit, void *data)
+{
+    GTreeNode *node = g_tree_node_first(core->rows[kind]);
+
+    for (; node != NULL; node = g_tree_node_next(node)) {
+        visit(g_tree_node_value(node), data);
+    }
+}
+
+/* Fill EPOCH with the pool's call epoch; all 0 and false if it has none. */
+bool
+table_core_epoch(const struct table_core *core, struct pool_id pool,
+                 struct table_epoch *epoch)
+{
+    const struct table_epoch *found =
+        g_hash_table_lookup(core->epochs, &pool.value);
+
+    memset(epoch, 0, sizeof(*epoch));
+    if (found == NULL) {
+        return false;
+    }
+    *epoch = *found;
+    return true;
+}
+
+/* Fill RESULT with the first answer to EDIT_ID, if it is still kept. */
+bool
+table_core_answer(const struct table_core *core, const char *edit_id,
+                  struct table_result *result)
+{
+    return table_answers_find(core, edit_id, result);
+}
