Decide flows by a bucket map, a lead and exceptions

Non-opening packets go by the published map; the lead opens flows, keeps its table ordered by bucket, deviates from the map only in steered slices and marked buckets, and copies those exceptions to a second daemon. Buckets move in acknowledged steps; leads are taken over and handed over.

--- a/src/flow/flow_core.c
+++ b/src/flow/flow_core.c
@@ -1,16 +1,29 @@
-/* The flow core: creation, events, counters. */
+/* The flow core: creation, events, actions, counters. */
 #include "flow/flow_core.h"
 
 #include <string.h>
 
-#include "base/hash.h"
+#include "flow/flow_state.h"
 
-struct flow_core {
-    struct flow_options options;
-    struct flow_counters counters;
-    GArray *routes;    /* struct route_view */
-    GHashTable *pools; /* uint64_t id to GArray of struct target_view */
-};
+#define DEFAULT_BUCKETS          4096
+#define DEFAULT_STEERED_FLOWS    16
+#define DEFAULT_STEERED_BALANCE  128
+#define DEFAULT_SLACK_FLOWS      20
+#define DEFAULT_SLACK_BALANCE    2
+#define DEFAULT_COPY_BYTES_PER_S 2000
+#define DEFAULT_FLOWS_MAX        2000000
+#define DEFAULT_CACHE_ENTRIES    131072
+#define DEFAULT_TCP_IDLE_S       9000
+#define DEFAULT_UDP_IDLE_S       120
+#define DEFAULT_ACK_LIMIT_MS     2000
+#define DEFAULT_SILENT_MS        10000
+#define ACTIONS_MIN              16
+
+static void set_default(uint32_t *, uint32_t);
+static void set_defaults(struct flow_options *);
+static void take_message(struct flow_core *, struct daemon_id,
+                         const struct flow_message *);
+static void tick(struct flow_core *);
 
 static const char *const reason_names[FLOW_REASON__MAX] = {
     "none",        "no_route",       "not_stream",  "no_map",
@@ -26,6 +39,31 @@
     return reason < FLOW_REASON__MAX ? reason_names[reason] : "unknown";
 }
 
+static void
+set_default(uint32_t *member, uint32_t value)
+{
+    if (*member == 0) {
+        *member = value;
+    }
+}
+
+static void
+set_defaults(struct flow_options *options)
+{
+    set_default(&options->buckets, DEFAULT_BUCKETS);
+    set_default(&options->steered_flows, DEFAULT_STEERED_FLOWS);
+    set_default(&options->steered_balance, DEFAULT_STEERED_BALANCE);
+    set_default(&options->slack_flows, DEFAULT_SLACK_FLOWS);
+    set_default(&options->slack_balance, DEFAULT_SLACK_BALANCE);
+    set_default(&options->copy_bytes_per_s, DEFAULT_COPY_BYTES_PER_S);
+    set_default(&options->flows_max, DEFAULT_FLOWS_MAX);
+    set_default(&options->cache_entries, DEFAULT_CACHE_ENTRIES);
+    set_default(&options->tcp_idle_s, DEFAULT_TCP_IDLE_S);
+    set_default(&options->udp_idle_s, DEFAULT_UDP_IDLE_S);
+    set_default(&options->ack_limit_ms, DEFAULT_ACK_LIMIT_MS);
+    set_default(&options->silent_ms, DEFAULT_SILENT_MS);
+}
+
 /* A core without routes, pools and daemons; freed by flow_core_free(). */
 struct flow_core *
 flow_core_new(const struct flow_options *options)
@@ -33,74 +71,127 @@
     struct flow_core *core = g_new0(struct flow_core, 1);
 
     core->options = *options;
-    core->routes = g_array_new(FALSE, FALSE, sizeof(struct route_view));
-    core->pools = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                        (GDestroyNotify)g_array_unref);
+    set_defaults(&core->options);
+    core->rand = g_rand_new_with_seed((guint32)options->seed);
+    core->endpoints = g_array_new(FALSE, TRUE, sizeof(struct flow_endpoint));
+    core->pools = g_ptr_array_new_with_free_func(flow_pool_free);
+    core->routes = g_ptr_array_new_with_free_func(g_free);
+    core->route_of =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    core->peers = g_array_new(FALSE, TRUE, sizeof(struct flow_peer));
+    core->views = g_array_new(FALSE, TRUE, sizeof(struct daemon_view));
+    core->suspects =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    flow_cache_init(&core->cache, core->options.cache_entries);
     return core;
 }
 
 void
 flow_core_free(struct flow_core *core)
 {
-    g_array_unref(core->routes);
-    g_hash_table_unref(core->pools);
+    if (core == NULL) {
+        return;
+    }
+    g_rand_free(core->rand);
+    g_array_unref(core->endpoints);
+    g_ptr_array_unref(core->pools);
+    g_ptr_array_unref(core->routes);
+    g_hash_table_unref(core->route_of);
+    g_array_unref(core->peers);
+    g_array_unref(core->views);
+    g_hash_table_unref(core->suspects);
+    flow_cache_clear(&core->cache);
     g_free(core);
 }
 
-static const struct route_view *
-find_route(const struct flow_core *core, uint32_t address, uint16_t port)
+/* Append an action of KIND to those of this step. */
+struct flow_action *
+flow_act(struct flow_core *core, enum flow_action_kind kind)
 {
-    for (guint i = 0; i < core->routes->len; i++) {
-        const struct route_view *route =
-            &g_array_index(core->routes, struct route_view, i);
+    struct flow_actions *out = core->out;
+    struct flow_action *action;
 
-        if (route->address == address &&
-            (route->port == 0 || route->port == port)) {
-            return route;
-        }
+    if (out->count == out->capacity) {
+        out->capacity = MAX(ACTIONS_MIN, out->capacity * 2);
+        out->items = g_renew(struct flow_action, out->items, out->capacity);
     }
-    return NULL;
+    action = &out->items[out->count++];
+    *action = (struct flow_action){.kind = kind};
+    return action;
 }
 
-/* Decide about one packet. */
-struct flow_verdict
-flow_core_packet(struct flow_core *core, uint64_t now_us,
-                 const struct flow_packet *packet)
+/* Append a message to TO, to be filled by the caller. */
+struct flow_message *
+flow_send(struct flow_core *core, struct daemon_id to,
+          enum flow_message_kind kind, struct pool_id pool)
 {
-    struct flow_verdict verdict = {.kind = FLOW_DROP,
-                                   .reason = FLOW_REASON_NO_ROUTE};
-    const struct route_view *route;
-    const struct target_view *target;
-    GArray *targets;
-    uint32_t key[3] = {packet->src, packet->dst,
-                       (uint32_t)packet->src_port << 16 | packet->dst_port};
-
-    (void)now_us;
-    if (find_route(core, packet->src, packet->src_port) != NULL) {
-        verdict.kind = FLOW_DELIVER;
-        core->counters.delivered++;
-        return verdict;
-    }
-    route = find_route(core, packet->dst, packet->dst_port);
-    if (route == NULL) {
-        core->counters.dropped[verdict.reason]++;
-        return verdict;
+    struct flow_action *action = flow_act(core, FLOW_ACT_SEND);
+
+    action->u.send.to = to;
+    action->u.send.message = flow_message_new(kind, pool);
+    return action->u.send.message;
+}
+
+static void
+take_message(struct flow_core *core, struct daemon_id from,
+             const struct flow_message *message)
+{
+    switch (message->kind) {
+    case FLOW_MSG_MAP:
+        flow_map_message(core, from, message);
+        break;
+    case FLOW_MSG_MAP_ACK:
+        flow_map_ack(core, from, message);
+        break;
+    case FLOW_MSG_QUERY:
+        flow_term_query(core, from, message);
+        break;
+    case FLOW_MSG_NO_MAP:
+        flow_term_no_map(core, from, message);
+        break;
+    case FLOW_MSG_COPY:
+    case FLOW_MSG_COUNTS:
+        flow_copy_message(core, from, message);
+        break;
+    case FLOW_MSG_COPY_ACK:
+        flow_copy_ack(core, from, message);
+        break;
+    case FLOW_MSG_GRANT:
+        flow_term_grant(core, from, message);
+        break;
+    case FLOW_MSG_ROUTES:
+        flow_route_message(core, from, message);
+        break;
+    case FLOW_MSG_ASK:
+        flow_silent_ask(core, from, message);
+        break;
+    case FLOW_MSG_ANSWERED:
+        flow_silent_answered(core, from, message);
+        break;
+    case FLOW_MSG__MAX:
+        break;
     }
-    targets = g_hash_table_lookup(core->pools, &route->pool.value);
-    if (targets == NULL || targets->len == 0) {
-        verdict.reason = FLOW_REASON_NO_TARGET;
-        core->counters.dropped[verdict.reason]++;
-        return verdict;
+}
+
+static void
+tick(struct flow_core *core)
+{
+    flow_route_tick(core);
+    for (guint i = 0; i < core->pools->len; i++) {
+        struct flow_pool *pool = core->pools->pdata[i];
+
+        flow_term_tick(core, pool);
+        flow_term_ask(core, pool);
+        flow_lead_sweep(core, pool);
+        if (pool->acting) {
+            flow_map_followers(core, pool);
+            flow_move_tick(core, pool);
+            flow_map_publish(core, pool);
+            flow_copy_tick(core, pool);
+        }
     }
-    target = &g_array_index(targets, struct target_view,
-                            hash_bytes(key, sizeof(key), 0) % targets->len);
-    verdict.kind = FLOW_FORWARD;
-    verdict.reason = FLOW_REASON_NONE;
-    verdict.pool = route->pool;
-    verdict.address = target->key.address;
-    verdict.port = target->port;
-    core->counters.forwarded++;
-    return verdict;
+    flow_silent_tick(core);
+    flow_term_stop(core);
 }
 
 /* Take one event in; actions are appended to OUT. */
@@ -108,43 +199,42 @@
 flow_core_step(struct flow_core *core, uint64_t now_us,
                const struct flow_event *event, struct flow_actions *out)
 {
-    (void)now_us;
+    core->now_us = now_us;
+    core->out = out;
     switch (event->kind) {
-    case FLOW_EV_ROUTES:
-        g_array_set_size(core->routes, 0);
-        g_array_append_vals(core->routes, event->u.routes.items,
-                            (guint)event->u.routes.count);
+    case FLOW_EV_TICK:
+        tick(core);
         break;
-    case FLOW_EV_POOL: {
-        GArray *targets =
-            g_array_new(FALSE, FALSE, sizeof(struct target_view));
-
-        g_array_append_vals(targets, event->u.pool->targets,
-                            (guint)event->u.pool->target_count);
-        g_hash_table_insert(
-            core->pools, g_memdup2(&event->u.pool->id.value, sizeof(uint64_t)),
-            targets);
+    case FLOW_EV_ROUTES:
+        flow_view_routes(core, event);
         break;
-    }
-    case FLOW_EV_STOP:
-        out->items = g_renew(struct flow_action, out->items, out->count + 1);
-        out->items[out->count++].kind = FLOW_ACT_STOPPED;
-        out->capacity = out->count;
+    case FLOW_EV_POOL:
+        flow_view_pool(core, event->u.pool);
         break;
-    case FLOW_EV_TICK:
     case FLOW_EV_DAEMONS:
+        flow_view_daemons(core, event);
+        break;
     case FLOW_EV_MESSAGE:
+        take_message(core, event->u.message.from, event->u.message.message);
+        break;
+    case FLOW_EV_STOP:
+        core->stopping = true;
+        core->stop_us = now_us;
+        break;
     case FLOW_EV__MAX:
         break;
     }
+    core->out = NULL;
 }
 
+/* What was counted so far; the gauges are made up to date. */
 const struct flow_counters *
 flow_core_counters(const struct flow_core *core)
 {
     return &core->counters;
 }
 
+/* Empty ACTIONS, freeing the messages that it owns; keeps its memory. */
 void
 flow_actions_clear(struct flow_actions *actions)
 {
@@ -164,20 +254,35 @@
     *actions = (struct flow_actions){0};
 }
 
+/*
+ * Open flows of the target at ADDRESS as the pool's lead counts them; 0 where
+ * this daemon does not lead.
+ */
 uint64_t
-flow_core_target_flows(const struct flow_core *core, struct pool_id pool,
+flow_core_target_flows(const struct flow_core *core, struct pool_id id,
                        uint32_t address)
 {
-    (void)core;
-    (void)pool;
-    (void)address;
-    return 0;
+    const struct flow_pool *pool = flow_pool_find(core, id);
+    uint64_t count = 0;
+
+    if (pool == NULL || !pool->acting) {
+        return 0;
+    }
+    for (guint i = 0; i < pool->slots->len; i++) {
+        const struct flow_slot *slot = flow_slot_at(pool, i);
+
+        if (slot->key.address == address) {
+            count += slot->count + slot->inherited;
+        }
+    }
+    return count;
 }
 
+/* Whether this daemon decides for the pool now. */
 bool
-flow_core_leads(const struct flow_core *core, struct pool_id pool)
+flow_core_leads(const struct flow_core *core, struct pool_id id)
 {
-    (void)core;
-    (void)pool;
-    return true;
+    const struct flow_pool *pool = flow_pool_find(core, id);
+
+    return pool != NULL && pool->acting;
 }
--- /dev/null
+++ b/src/flow/flow_route.c
@@ -0,0 +1,233 @@
+/*
+ * Routes, and the step from one pool to another: new flows open at the new
+ * pool only once every live daemon has the new version; until the older ones
+ * have ended, a packet that the new pool's lead does not know goes to the
+ * former pool.
+ */
+#include "flow/flow_state.h"
+
+#define ROUTES_REPEAT_US UINT64_C(10000000)
+#define SYNC_LIMIT_US    1000000 /* a joining daemon waits for its peers */
+#define RATE_UNIT        1000000
+
+static uint64_t route_key(uint32_t, uint16_t);
+static void set_route(struct flow_core *, const struct route_view *,
+                      uint64_t version);
+static void drop_gone(struct flow_core *);
+static void update_everywhere(struct flow_core *);
+static void update_sync(struct flow_core *);
+static struct flow_peer *find_peer(struct flow_core *, struct daemon_id);
+
+static uint64_t
+route_key(uint32_t address, uint16_t port)
+{
+    return (uint64_t)address << 16 | port;
+}
+
+/* The route of PORT at ADDRESS, or of all its ports, or NULL. */
+struct flow_route *
+flow_route_find(const struct flow_core *core, uint32_t address, uint16_t port)
+{
+    uint64_t key = route_key(address, port);
+    struct flow_route *route = g_hash_table_lookup(core->route_of, &key);
+
+    if (route == NULL) {
+        key = route_key(address, 0);
+        route = g_hash_table_lookup(core->route_of, &key);
+    }
+    return route;
+}
+
+static void
+set_route(struct flow_core *core, const struct route_view *view,
+          uint64_t version)
+{
+    uint64_t key = route_key(view->address, view->port);
+    struct flow_pool *pool = flow_pool_get(core, view->pool);
+    struct flow_route *route = g_hash_table_lookup(core->route_of, &key);
+    struct flow_route *before =
+        flow_route_find(core, view->address, view->port);
+
+    if (route == NULL) {
+        route = g_new0(struct flow_route, 1);
+        route->pool = before == NULL ? pool : before->pool;
+        route->tokens_us = core->now_us;
+        route->tokens = (int64_t)view->new_flows_per_s * RATE_UNIT;
+        route->everywhere = true;
+        g_ptr_array_add(core->routes, route);
+        g_hash_table_insert(core->route_of, g_memdup2(&key, sizeof(key)),
+                            route);
+    }
+    if (route->pool != pool) {
+        route->former = route->pool;
+        route->pool = pool;
+        route->changed_version = version;
+        route->former_until_us =
+            core->now_us + (uint64_t)core->options.tcp_idle_s * US_PER_S;
+        route->everywhere = false;
+    }
+    route->view = *view;
+    route->gone = false;
+}
+
+static void
+drop_gone(struct flow_core *core)
+{
+    for (guint i = core->routes->len; i-- > 0;) {
+        struct flow_route *route = core->routes->pdata[i];
+        uint64_t key = route_key(route->view.address, route->view.port);
+
+        if (route->gone) {
+            g_hash_table_remove(core->route_of, &key);
+            g_ptr_array_remove_index_fast(core->routes, i);
+        }
+    }
+}
+
+/* Take all routes; an older version than the one in force is ignored. */
+void
+flow_view_routes(struct flow_core *core, const struct flow_event *event)
+{
+    uint64_t version = event->u.routes.version;
+
+    if (version < core->routes_version) {
+        return;
+    }
+    for (guint i = 0; i < core->routes->len; i++) {
+        struct flow_route *route = core->routes->pdata[i];
+
+        route->gone = true;
+    }
+    for (size_t i = 0; i < event->u.routes.count; i++) {
+        set_route(core, &event->u.routes.items[i], version);
+    }
+    drop_gone(core);
+    core->routes_version = version;
+    for (guint i = 0; i < core->peers->len; i++) {
+        g_array_index(core->peers, struct flow_peer, i).sent_us = 0;
+    }
+    update_everywhere(core);
+}
+
+static struct flow_peer *
+find_peer(struct flow_core *core, struct daemon_id id)
+{
+    for (guint i = 0; i < core->peers->len; i++) {
+        struct flow_peer *peer =
+            &g_array_index(core->peers, struct flow_peer, i);
+
+        if (peer->view.id.value == id.value) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+/* A peer's version; POSITION is what it knows of ours, and is set right. */
+void
+flow_route_message(struct flow_core *core, struct daemon_id from,
+                   const struct flow_message *message)
+{
+    struct flow_peer *peer = find_peer(core, from);
+
+    if (peer == NULL) {
+        return;
+    }
+    peer->heard = true;
+    peer->routes_version = MAX(peer->routes_version, message->seq);
+    if (message->position < core->routes_version) {
+        peer->sent_us = 0;
+    }
+    update_everywhere(core);
+}
+
+/* Note which routes every live daemon has in their newest version. */
+static void
+update_everywhere(struct flow_core *core)
+{
+    uint64_t lowest = core->routes_version;
+
+    for (guint i = 0; i < core->peers->len; i++) {
+        lowest = MIN(
+            lowest,
+            g_array_index(core->peers, struct flow_peer, i).routes_version);
+    }
+    for (guint i = 0; i < core->routes->len; i++) {
+        struct flow_route *route = core->routes->pdata[i];
+
+        if (lowest >= route->changed_version) {
+            route->everywhere = true;
+        }
+        if (route->former != NULL && core->now_us > route->former_until_us) {
+            route->former = NULL;
+        }
+    }
+}
+
+/*
+ * A joining daemon decides nothing by its routes until it has heard what its
+ * peers have, and has as much.
+ */
+static void
+update_sync(struct flow_core *core)
+{
+    bool late = core->now_us > core->joined_us + SYNC_LIMIT_US;
+
+    if (core->synced || !core->views_known) {
+        return;
+    }
+    for (guint i = 0; i < core->peers->len; i++) {
+        const struct flow_peer *peer =
+            &g_array_index(core->peers, struct flow_peer, i);
+
+        if ((!peer->heard && !late) ||
+            peer->routes_version > core->routes_version) {
+            return;
+        }
+    }
+    core->synced = true;
+}
+
+/* Tell peers the version in force here: on change, then now and then. */
+void
+flow_route_tick(struct flow_core *core)
+{
+    for (guint i = 0; i < core->peers->len; i++) {
+        struct flow_peer *peer =
+            &g_array_index(core->peers, struct flow_peer, i);
+        bool behind =
+            !peer->heard || peer->routes_version < core->routes_version;
+        uint64_t wait = behind ? FLOW_RESEND_US : ROUTES_REPEAT_US;
+        struct flow_message *message;
+
+        if (peer->sent_us != 0 && core->now_us < peer->sent_us + wait) {
+            continue;
+        }
+        message = flow_send(core, peer->view.id, FLOW_MSG_ROUTES,
+                            (struct pool_id){0});
+        message->seq = core->routes_version;
+        message->position = peer->heard ? peer->routes_version : 0;
+        peer->sent_us = core->now_us;
+    }
+    update_everywhere(core);
+    update_sync(core);
+}
+
+/* Take one new flow from the route's allowance; false if it is used up. */
+bool
+flow_route_admit(struct flow_core *core, struct flow_route *route)
+{
+    int64_t rate = route->view.new_flows_per_s;
+
+    if (rate == 0) {
+        return true;
+    }
+    route->tokens += (int64_t)(core->now_us - route->tokens_us) * rate;
+    route->tokens = MIN(route->tokens, rate * RATE_UNIT);
+    route->tokens_us = core->now_us;
+    if (route->tokens < RATE_UNIT) {
+        return false;
+    }
+    route->tokens -= RATE_UNIT;
+    return true;
+}
