Add the call core

Cause: calls need one lead that runs each at most once. Change: src/call holds the queue, slots, matching of answers, retries, epochs and the replicated records of ids.

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -40,8 +40,9 @@
     struct call_option option;
     const uint8_t *payload; /* of the inner UDP datagram */
     size_t payload_len;
-    uint32_t hops; /* times that it was handed on */
-    bool former;   /* to a lead of an earlier epoch: don't hand on */
+    uint32_t hops;     /* times that it was handed on */
+    bool former;       /* to a lead of an earlier epoch: don't hand on */
+    uint64_t released; /* epoch that may run it: its recorder gave it up */
 };
 
 enum call_event_kind {
--- /dev/null
+++ b/src/call/call_answer.c
@@ -0,0 +1,183 @@
+/*
+ * Targets' packets: matched by id, attempt and target, gathered, and given
+ * to the caller as a whole.  What does not match is dropped and counted.
+ */
+#include "call/call_internal.h"
+
+#define REFUSED_REST_US 20000 /* a target that refused gets no call so long */
+
+static enum call_reason mismatch(const struct call_pool *, const struct call *,
+                                 const struct call_packet *);
+static void answered(struct call_step *, struct call_pool *, struct call *,
+                     struct call_attempt *, const struct call_packet *);
+static void not_run(struct call_step *, struct call_pool *, struct call *,
+                    struct call_attempt *);
+static void lost(struct call_step *, struct call_pool *, struct call *,
+                 struct call_attempt *);
+
+/* Why PACKET does not belong to CALL; CALL_REASON__MAX if it does. */
+static enum call_reason
+mismatch(const struct call_pool *pool, const struct call *call,
+         const struct call_packet *packet)
+{
+    uint32_t number = packet->option.attempt;
+    const struct call_attempt *attempt;
+
+    if (number == 0 || number > call->attempt_count) {
+        return CALL_REASON_WRONG_ATTEMPT;
+    }
+    attempt = call->attempts[number - 1];
+    if (attempt->target.address != packet->target ||
+        call_slot_find(pool, attempt->target) == NULL) {
+        return CALL_REASON_WRONG_TARGET;
+    }
+    if (!attempt->open) {
+        return CALL_REASON_LATE;
+    }
+    return CALL_REASON__MAX;
+}
+
+/* Take a target's packet of a call that this daemon knows. */
+static void
+match(struct call_step *step, struct call_pool *pool, struct call *call,
+      const struct call_packet *packet)
+{
+    enum call_reason reason = mismatch(pool, call, packet);
+    struct call_attempt *attempt;
+
+    if (reason != CALL_REASON__MAX) {
+        call_drop(step, pool, reason);
+        return;
+    }
+    attempt = call->attempts[packet->option.attempt - 1];
+    switch (packet->option.kind) {
+    case CALL_ANSWER:
+        answered(step, pool, call, attempt, packet);
+        break;
+    case CALL_NOT_RUN:
+        not_run(step, pool, call, attempt);
+        break;
+    case CALL_OUTCOME_UNKNOWN:
+        lost(step, pool, call, attempt);
+        break;
+    case CALL_REQUEST:
+    case CALL_CANCEL:
+    case CALL_KIND__MAX:
+        call_drop(step, pool, CALL_REASON_WRONG_KIND);
+        break;
+    }
+}
+
+/*
+ * Take a target's packet.  The lead of an earlier epoch may have sent the
+ * request, so that what is not known here goes to it once.
+ */
+void
+call_answer(struct call_step *step, struct call_pool *pool,
+            const struct call_packet *packet)
+{
+    struct call_key key = {packet->option.id, packet->caller};
+    struct call *call = call_find(pool, key);
+    struct daemon_id former = call == NULL ? pool->former : call->former;
+    struct call_packet further = *packet;
+
+    if (call != NULL && call->state != CALL_FORMER) {
+        match(step, pool, call, packet);
+        return;
+    }
+    if (packet->former || former.value == 0 ||
+        former.value == step->core->options.self.value) {
+        call_drop(step, pool, CALL_REASON_UNKNOWN_ID);
+        return;
+    }
+    further.former = true;
+    further.hops = 0;
+    call_hand_on(step, pool, further, former);
+}
+
+/* Take a part of an answer; with the last one the caller gets them all. */
+static void
+answered(struct call_step *step, struct call_pool *pool, struct call *call,
+         struct call_attempt *attempt, const struct call_packet *packet)
+{
+    const struct call_option *option = &packet->option;
+    struct call_slot *slot = call_slot_find(pool, attempt->target);
+
+    if (attempt->parts == 0) {
+        attempt->parts = option->parts;
+    }
+    if (option->parts != attempt->parts || option->part >= attempt->parts) {
+        call_drop(step, pool, CALL_REASON_WRONG_PARTS);
+        return;
+    }
+    if (attempt->answer[option->part] != NULL) {
+        call_drop(step, pool, CALL_REASON_DUPLICATE);
+        return;
+    }
+    call_bytes_room(step->core, pool, packet->payload_len);
+    call_bytes_set(step->core, &attempt->answer[option->part], packet->payload,
+                   packet->payload_len);
+    attempt->parts_held++;
+    if (attempt->parts_held < attempt->parts) {
+        return;
+    }
+    if (slot != NULL) {
+        slot->evidence.answered++;
+    }
+    call_attempt_close(pool, attempt);
+    call->answered_by = option->attempt - 1;
+    step->core->counters.answered++;
+    call_attempts_end(step, pool, call, true, false);
+    call_move(pool, call, CALL_ANSWERED);
+    call_request_clear(step->core, call);
+    call_answer_give(step, pool, call);
+}
+
+static bool
+has_open(const struct call *call)
+{
+    for (unsigned i = 0; i < call->attempt_count; i++) {
+        if (call->attempts[i]->open) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The target has refused the attempt before it ran anything. */
+static void
+not_run(struct call_step *step, struct call_pool *pool, struct call *call,
+        struct call_attempt *attempt)
+{
+    struct call_slot *slot = call_slot_find(pool, attempt->target);
+
+    if (attempt->parts != 0) {
+        call_drop(step, pool, CALL_REASON_WRONG_KIND);
+        return;
+    }
+    if (slot != NULL) {
+        slot->evidence.refused++;
+        slot->rest_until_us = step->now_us + REFUSED_REST_US;
+    }
+    attempt->refused = true;
+    call_attempt_close(pool, attempt);
+    if (call->state == CALL_SENT && !has_open(call)) {
+        call_retry(step, pool, call, CALL_REASON_TARGET_REFUSED);
+    }
+}
+
+/* The target itself does not know whether the attempt ran. */
+static void
+lost(struct call_step *step, struct call_pool *pool, struct call *call,
+     struct call_attempt *attempt)
+{
+    call_attempt_close(pool, attempt);
+    if (call->state != CALL_SENT || has_open(call)) {
+        return;
+    }
+    if (call->idempotent) {
+        call_retry(step, pool, call, CALL_REASON_TARGET_REFUSED);
+        return;
+    }
+    call_unknown(step, pool, call, CALL_REASON_TARGET_REFUSED);
+}
--- a/src/call/call_message.h
+++ b/src/call/call_message.h
@@ -43,13 +43,14 @@
 struct call_message {
     enum call_message_kind kind;
     struct pool_id pool;
-    uint64_t epoch;
-    uint64_t previous;
+    uint64_t epoch;       /* the sender's, or the highest promised */
+    uint64_t previous;    /* COLLECT: whose records are asked for */
     uint64_t incarnation; /* the member's: as listed, or its own in an ack */
-    uint64_t offset;
-    uint64_t total;
-    uint64_t install; /* entries taken over from earlier epochs */
-    bool held;        /* the member holds a log of PREVIOUS */
+    uint64_t first;       /* entries before it have expired */
+    uint64_t offset;      /* of keys[0]; in RECORD_ACK the end of the log */
+    uint64_t end;         /* of the sender's log */
+    uint64_t install;     /* entries taken over from earlier epochs */
+    bool held;            /* COLLECT_ACK: the log is of PREVIOUS */
     size_t key_count;
     struct call_key keys[CALL_RECORDS_PER_MESSAGE];
 };
--- /dev/null
+++ b/src/call/call_packet.c
@@ -0,0 +1,92 @@
+/* The way of a packet: decided here, or handed on. */
+#include "call/call_internal.h"
+
+static void former_unknown(struct call_step *, struct call_pool *,
+                           const struct call_packet *);
+static void packet_here(struct call_step *, struct call_pool *,
+                        const struct call_packet *);
+
+/* A packet for a lead of an earlier epoch, which does not know its call. */
+static void
+former_unknown(struct call_step *step, struct call_pool *pool,
+               const struct call_packet *packet)
+{
+    struct call_datagram *datagram;
+
+    if (packet->target != 0 || packet->option.part != 0) {
+        call_drop(step, pool, CALL_REASON_UNKNOWN_ID);
+        return;
+    }
+    datagram = &call_action_add(step, CALL_ACT_REFUSE)->u.datagram;
+    datagram->pool = pool->id;
+    datagram->caller = packet->caller;
+    datagram->caller_port = packet->caller_port;
+    datagram->service = packet->service;
+    datagram->service_port = packet->service_port;
+    datagram->option.id = packet->option.id;
+    datagram->option.kind = CALL_OUTCOME_UNKNOWN;
+    datagram->option.parts = 1;
+    datagram->reason = CALL_REASON_EARLIER_EPOCH;
+    step->core->counters.refused[CALL_REASON_EARLIER_EPOCH]++;
+    step->core->counters.outcome_unknown++;
+}
+
+/* Decide PACKET here, as the lead or as the one that knows the call. */
+static void
+packet_here(struct call_step *step, struct call_pool *pool,
+            const struct call_packet *packet)
+{
+    if (packet->target != 0) {
+        call_answer(step, pool, packet);
+        return;
+    }
+    switch (packet->option.kind) {
+    case CALL_REQUEST:
+        call_request(step, pool, packet);
+        break;
+    case CALL_CANCEL:
+        call_cancel(step, pool, packet);
+        break;
+    case CALL_ANSWER:
+    case CALL_NOT_RUN:
+    case CALL_OUTCOME_UNKNOWN:
+    case CALL_KIND__MAX:
+        call_drop(step, pool, CALL_REASON_WRONG_KIND);
+        break;
+    }
+}
+
+/* Decide a packet here, or hand it on to the pool's lead. */
+void
+call_packet(struct call_step *step, struct call_pool *pool,
+            const struct call_packet *packet)
+{
+    struct call_key key = {packet->option.id, packet->caller};
+    struct call *call = call_find(pool, key);
+
+    if (packet->option.parts == 0 || packet->option.parts > CALL_PARTS_MAX ||
+        packet->option.part >= packet->option.parts) {
+        call_drop(step, pool, CALL_REASON_WRONG_PARTS);
+        return;
+    }
+    if (packet->former && (call == NULL || call->state == CALL_FORMER)) {
+        former_unknown(step, pool, packet);
+        return;
+    }
+    if ((call != NULL && call->state != CALL_FORMER) ||
+        call_is_lead(step->core, pool)) {
+        packet_here(step, pool, packet);
+        return;
+    }
+    if (pool->view_lead.value == 0 && step->core->stop_us != 0 &&
+        packet->target == 0 && packet->option.kind == CALL_REQUEST) {
+        call_request(step, pool, packet);
+        call = call_find(pool, key);
+        if (call != NULL && call->attempt_count == 0 &&
+            call->state < CALL_DENYING) {
+            call_refuse(step, pool, call, CALL_REASON_STOPPING);
+        }
+        return;
+    }
+    call_hand_on(step, pool, *packet, pool->view_lead);
+}
