--- a/src/member/member.c
+++ b/src/member/member.c
@@ -123,6 +123,7 @@
         core->clock_us = now_us;
         core->now_us = now_us;
         core->start_us = now_us;
+        core->heard_us = now_us;
         core->started = true;
     }
     gap = now_us > core->clock_us ? now_us - core->clock_us : 0;
@@ -135,6 +136,7 @@
 {
     member_probe_tick(core);
     member_check_suspects(core);
+    member_check_isolation(core);
     member_reconnect(core);
     member_gossip(core);
     if (core->now_us >= core->forget_us) {
@@ -155,6 +157,7 @@
         from != core->options.address) {
         core->counters.name_conflicts++;
     }
+    core->heard_us = core->now_us;
     for (size_t i = 0; i < message->record_count; i++) {
         member_merge(core, &message->records[i]);
     }
--- a/src/member/member_priv.h
+++ b/src/member/member_priv.h
@@ -13,7 +13,9 @@
 #define GOSSIP_FANOUT       2  /* daemons that get news at a time */
 #define GOSSIP_FACTOR       3  /* times log2 of the daemons: news repeated */
 #define BURST_MAX           16 /* daemons told directly of a planned stop */
-#define HEALTH_MAX          8
+#define HEALTH_MAX          4
+#define HEALTH_FACTOR_MAX   2    /* of intervals and suspicion */
+#define ISOLATED_MS         1500 /* nothing heard: all peers are suspect */
 #define RETRY_FIRST_MS      150  /* probes of a suspect, by its accuser */
 #define RETRY_OTHER_MS      300  /* and by those who heard of it */
 #define RETRY_OTHER_DAEMONS 64   /* above, heard suspicions are probed less */
@@ -73,7 +75,8 @@
     guint reconnect_next;
     uint32_t seq;
     uint32_t health;
-    uint64_t start_us, probe_us, gossip_us, sync_us, reconnect_us, forget_us;
+    uint64_t start_us, heard_us, probe_us, gossip_us, sync_us, reconnect_us,
+        forget_us;
     uint64_t digests[MEMBER_BUCKETS];
     bool changed;
     GArray *view; /* struct daemon_view */
@@ -106,6 +109,8 @@
 void member_hear_death(struct member_core *, struct member *);
 void member_answered(struct member_core *, struct member *);
 void member_check_suspects(struct member_core *);
+void member_check_isolation(struct member_core *);
+uint64_t member_health_factor(const struct member_core *);
 
 /* member_gossip.c: sending, and news carried along */
 void member_announce(struct member_core *, struct member *);
--- a/src/member/member_probe.c
+++ b/src/member/member_probe.c
@@ -203,8 +203,8 @@
 member_probe_tick(struct member_core *core)
 {
     uint64_t kept_us = PROBE_KEPT_MS * US_PER_MS * (core->health + 1);
-    uint64_t interval_us =
-        core->options.probe_interval_ms * US_PER_MS * (core->health + 1);
+    uint64_t interval_us = core->options.probe_interval_ms * US_PER_MS *
+                           member_health_factor(core);
     struct member *member;
     struct probe *probe;
 
--- a/src/member/member_suspect.c
+++ b/src/member/member_suspect.c
@@ -11,6 +11,13 @@
 static uint64_t retry_interval_us(const struct member_core *,
                                   const struct member *);
 
+/* How much longer intervals and suspicions are while health is not full. */
+uint64_t
+member_health_factor(const struct member_core *core)
+{
+    return MIN(core->health + 1, HEALTH_FACTOR_MAX);
+}
+
 /* How long MEMBER may be suspect; longer while this daemon is unwell. */
 static uint64_t
 suspicion_us(const struct member_core *core, const struct member *member)
@@ -26,7 +33,7 @@
     else if (member->confirmed) {
         limit_ms = core->options.suspicion_ms;
     }
-    return limit_ms * US_PER_MS * (core->health + 1);
+    return limit_ms * US_PER_MS * member_health_factor(core);
 }
 
 /*
@@ -131,3 +138,24 @@
         }
     }
 }
+
+/*
+ * Where nobody was heard for a while, this daemon is cut off: waiting for
+ * each probe to fail in turn would keep it from serving alone.
+ */
+void
+member_check_isolation(struct member_core *core)
+{
+    if (member_peer_count(core) == 0 ||
+        core->now_us - core->heard_us < ISOLATED_MS * US_PER_MS) {
+        return;
+    }
+    core->heard_us = core->now_us;
+    for (guint i = 0; i < core->order->len; i++) {
+        struct member *member = g_ptr_array_index(core->order, i);
+
+        if (member_is_peer(core, member)) {
+            member_suspect(core, member, true);
+        }
+    }
+}
