--- a/tests/script/lib.sh
+++ b/tests/script/lib.sh
@@ -304,3 +304,116 @@
 chmod 600 "$RUN_DIR/token"
 trap finish EXIT
 trap 'exit 143' TERM INT
+
+# The layouts of the two customers, scaled in time and not in shape.
+layout_small() {
+    layout suva-c:suva:control suva-1:suva:entry suva-2:suva:entry \
+        suva-3:suva:entry
+}
+
+layout_fiji() {
+    layout suva-1:suva:entry,control nadi-1:nadi:entry,control \
+        lautoka-1:lautoka:entry,control suva-2:suva:entry suva-3:suva:entry \
+        nadi-2:nadi:entry nadi-3:nadi:entry lautoka-2:lautoka:entry \
+        lautoka-3:lautoka:entry
+}
+
+layout_ghana() {
+    layout accra-a-1:accra-a:entry,control accra-b-1:accra-b:entry,control \
+        tema-a-1:tema-a:entry,control accra-a-2:accra-a:entry \
+        accra-b-2:accra-b:entry tema-a-2:tema-a:entry tema-b-1:tema-b:entry \
+        tema-b-2:tema-b:entry
+}
+
+# Delays between zones and from targets and callers of all zones.
+latency() { # MS between zones
+    local a b
+    for a in "${!ZONES[@]}"; do
+        for b in "${!ZONES[@]}"; do
+            [ "$a" = "$b" ] ||
+                ctl fabric "fault 127.$B.$((a + 1)).* 127.$B.$((b + 1)).*" \
+                    "delay=$1" >/dev/null
+        done
+    done
+}
+
+# Start N targets of POOL, dealt over the zones in turn.
+targets_start() { # POOL N ARGUMENT...
+    local pool=$1 n=$2 i
+    shift 2
+    for i in $(seq "$n"); do
+        target_start "$pool-$i" "$pool" \
+            "${ZONES[$(((i - 1) % ${#ZONES[@]}))]}" "$@"
+    done
+}
+
+# Set a pool with a stream route at 10.0.K.1 and a call route at 10.0.K.2.
+service_set() { # POOL K PREFER
+    edit pool set "$1" --prefer "$3"
+    edit route set "$1-feeds" --address "10.0.$2.1" --port 0 --kind stream \
+        --pool "$1"
+    edit route set "$1-calls" --address "10.0.$2.2" --port 0 --kind call \
+        --pool "$1"
+}
+
+# Start feeds, uploads and calls of POOL and wait until all of them work.
+traffic_start() { # POOL K FEEDS UPLOADS CALLS-A-SECOND ARGUMENT...
+    local pool=$1 k=$2 feeds=$3 uploads=$4 calls=$5
+    shift 5
+    caller_start "$pool-feeds" "$pool" "10.0.$k.1:443" --streams "$feeds" \
+        --period-ms 200 "$@"
+    caller_start "$pool-uploads" "$pool" "10.0.$k.1:80" \
+        --streams "$uploads" --period-ms 0 --message-len 1000 --messages 300 \
+        "$@"
+    caller_start "$pool-calls" "$pool" "10.0.$k.2:80" --calls-per-s "$calls" \
+        --parts-max 3 "$@"
+    wait_for 15 at_least "$pool-feeds" echoed "$((feeds * 2))" ||
+        echo "$pool: feeds do not open"
+    wait_for 15 at_least "$pool-uploads" echoed 50 ||
+        echo "$pool: uploads do not open"
+    wait_for 15 at_least "$pool-calls" answered 20 ||
+        echo "$pool: calls get no answers"
+}
+
+# Cut a zone off from all others, daemons and targets; heal it again.
+zone_cut() { # ZONE
+    local z a name
+    z=$(zone_index "$1")
+    for a in "${!ZONES[@]}"; do
+        [ $((a + 1)) -eq "$z" ] && continue
+        for pair in "$z $((a + 1))" "$((a + 1)) $z"; do
+            set -- $pair
+            ctl fabric "fault 127.$B.$1.* 127.$B.$2.* cut=1" >/dev/null
+            ctl fabric "fault 127.$B.1$1.* 127.$B.$2.* cut=1" >/dev/null
+        done
+    done
+    for name in "${TARGETS[@]}"; do
+        is_running "$name" || continue
+        target_cut "$name" "$z"
+    done
+}
+
+# Let a target lose what daemons on the far side of zone Z's cut send.
+target_cut() { # NAME Z
+    local a own
+    own=${IP[$1]#127."$B".1}
+    own=${own%%.*}
+    for a in "${!ZONES[@]}"; do
+        a=$((a + 1))
+        if [ "$own" != "$a" ] && { [ "$own" = "$2" ] || [ "$a" = "$2" ]; }; then
+            ctl "$1" "fault 127.$B.$a.* * cut=1" >/dev/null
+        fi
+    done
+}
+
+zones_heal() {
+    local name
+    ctl fabric clear >/dev/null
+    for name in "${TARGETS[@]}"; do
+        is_running "$name" && ctl "$name" clear >/dev/null
+    done
+}
+
+step() {
+    echo "step: $*"
+}
--- /dev/null
+++ b/tools/soak.sh
@@ -0,0 +1,164 @@
+#!/usr/bin/env bash
+# Random faults for MINUTES from SEED; the ledgers are checked at the end.
+# The same seed gives the same schedule, printed before it is carried out.
+#
+#     tools/soak.sh SEED MINUTES
+set -u
+cd "$(dirname "$0")/.."
+SEED=${1:-1}
+MINUTES=${2:-10}
+RUN_NAME=soak-$SEED
+. tests/script/lib.sh
+
+TARGET_COUNT=14
+BUSY_S=4 # between two faults, about
+
+# Print the schedule: "SECOND FAULT ARGUMENT..." a line.
+schedule() {
+    awk -v seed="$SEED" -v end="$((MINUTES * 60 - 30))" -v busy="$BUSY_S" \
+        -v targets="$TARGET_COUNT" -v daemons="${#DAEMONS[@]}" \
+        -v zones="${#ZONES[@]}" '
+    function pick(n) { return int(rand() * n) }
+    BEGIN {
+        srand(seed)
+        kinds = split("entry_kill entry_stop target_drain target_kill " \
+            "zone_cut peer_loss peer_break edit forget misbehave slow", kind, " ")
+        for (at = 5; at < end; at += 1 + pick(2 * busy)) {
+            k = kind[1 + pick(kinds)]
+            n = k ~ /^entry|^peer/ ? daemons : k == "zone_cut" ? zones : targets
+            print at, k, pick(n), pick(1000000)
+        }
+    }'
+}
+
+back_later() { # SECONDS COMMAND...
+    local at=$(($(date +%s) + $1))
+    shift
+    LATER+=("$at $*")
+}
+
+run_later() {
+    local kept=() entry now
+    now=$(date +%s)
+    for entry in "${LATER[@]:-}"; do
+        [ -n "$entry" ] || continue
+        if [ "${entry%% *}" -le "$now" ]; then
+            eval "${entry#* }"
+        else
+            kept+=("$entry")
+        fi
+    done
+    LATER=("${kept[@]:-}")
+}
+
+target_again() { # NAME
+    INCARNATION=$((INCARNATION + 1))
+    target_start "$1" fieldline "${ZONES[$((${1##*-} % ZONE_COUNT))]}" \
+        --service-ms 30 --incarnation "$INCARNATION"
+}
+
+fault_entry_kill() {
+    local name=${DAEMONS[$1]}
+    is_running "$name" || return
+    kill_hard "$name"
+    back_later 6 daemon_start "$name"
+}
+
+fault_entry_stop() {
+    local name=${DAEMONS[$1]}
+    is_running "$name" || return
+    kill -TERM "${PID[$name]}"
+    back_later 10 daemon_again "$name"
+}
+
+daemon_again() {
+    wait_for 10 not is_running "$1" || echo "$1 has not ended in 20 s"
+    daemon_start "$1"
+}
+
+fault_target_drain() {
+    local name=fieldline-$(($1 + 1))
+    is_running "$name" || return
+    ctl "$name" state draining >/dev/null
+    back_later 12 "ctl $name state ready >/dev/null"
+}
+
+fault_target_kill() {
+    local name=fieldline-$(($1 + 1))
+    is_running "$name" || return
+    kill_hard "$name"
+    DEAD+=(--dead "${IP[$name]}")
+    back_later 8 target_again "$name"
+}
+
+fault_zone_cut() {
+    zone_cut "${ZONES[$1]}"
+    back_later 8 zones_heal
+}
+
+fault_peer_loss() {
+    ctl fabric "fault ${IP[${DAEMONS[$1]}]} * loss=20 reorder=20 double=5" \
+        >/dev/null
+    back_later 6 zones_heal
+}
+
+fault_peer_break() {
+    ctl fabric "break ${IP[${DAEMONS[$1]}]}" \
+        "${IP[${DAEMONS[$((($1 + 1) % ${#DAEMONS[@]}))]}]}" >/dev/null
+}
+
+fault_edit() {
+    edit pool set "soak-$(($2 % 5))" --prefer balance
+}
+
+fault_forget() {
+    local name=fieldline-$(($1 + 1))
+    is_running "$name" && ctl "$name" forget 2 >/dev/null
+}
+
+fault_misbehave() {
+    local name=fieldline-$(($1 + 1))
+    is_running "$name" || return
+    ctl "$name" mode shed=20 late=10 double=20 cross=10 >/dev/null
+    ctl "$name" endpoint load frozen >/dev/null
+    back_later 6 "is_running $name && ctl $name clear >/dev/null"
+}
+
+fault_slow() {
+    local name=fieldline-$(($1 + 1))
+    is_running "$name" || return
+    ctl "$name" mode service-ms=400 >/dev/null
+    back_later 6 "is_running $name && ctl $name clear >/dev/null"
+}
+
+LATER=() DEAD=() INCARNATION=1
+layout_fiji
+ZONE_COUNT=${#ZONES[@]}
+schedule >"$RUN_DIR/schedule.txt"
+cat "$RUN_DIR/schedule.txt"
+fabric_start
+daemons_start
+service_set fieldline 0 flows
+targets_start fieldline "$TARGET_COUNT" --service-ms 30
+traffic_start fieldline 0 500 10 60 --stall-ms 40000
+BEGUN=$(date +%s)
+while read -r at fault argument other; do
+    while [ "$(($(date +%s) - BEGUN))" -lt "$at" ]; do
+        run_later
+        sleep 0.2
+    done
+    echo "$at s: $fault $argument" >&2
+    "fault_$fault" "$argument" "$other"
+done <"$RUN_DIR/schedule.txt"
+while [ ${#LATER[@]} -gt 0 ] && [ -n "${LATER[0]}" ]; do
+    run_later
+    sleep 0.2
+done
+sleep 10
+callers_stop
+# Calls whose daemon was killed may end unknown; that is a refusal in sight.
+check_ledger --min-streams 500 --min-answers 100 --allow-unknown 200 \
+    "${DEAD[@]}"
+status=$?
+tail -n 40 "$RUN_DIR/check-ledger.log"
+exit $status
