--- a/bench/bench_forward.c
+++ b/bench/bench_forward.c
@@ -465,7 +465,7 @@
     g_usleep(200000);
     count = atomic_load(&bench->wait_count);
     if (count < LATENCY_PACKETS * 99 / 100) {
-        fprintf(stderr, "bench_forward: %u of %u timed packets came\n", count,
+        fprintf(stderr, "bench_forward: %u of %d timed packets came\n", count,
                 LATENCY_PACKETS);
     }
     qsort(bench->waits, count, sizeof(double), compare);
--- a/tests/script/lib.sh
+++ b/tests/script/lib.sh
@@ -290,13 +290,43 @@
     fi
 }
 
+# Get a path of a daemon's administration address, without a token.
+http_get() { # NAME PATH
+    local fd
+    exec {fd}<>"/dev/tcp/${IP[$1]}/8080" || return 1
+    printf 'GET %s HTTP/1.0\r\nHost: %s\r\nConnection: close\r\n\r\n' \
+        "$2" "${IP[$1]}" >&"$fd"
+    timeout 3 cat <&"$fd"
+    exec {fd}>&-
+}
+
 # A counter of a daemon, summed over its labels.
 metric() { # NAME METRIC
-    curl -s --noproxy '*' --max-time 2 "http://${IP[$1]}:8080/metrics" |
+    http_get "$1" /metrics |
         awk -v name="$2" '{ split($1, part, "{") }
             part[1] == name { sum += $2 } END { print sum + 0 }'
 }
 
+# Members of the JSON on standard input, by an expression over "it".
+json() { # PYTHON-EXPRESSION
+    python3 -c "import json, sys
+it = json.load(sys.stdin)
+print($1)" 2>/dev/null
+}
+
+# What DAEMON says of itself: in_force, leader, ...
+status_of() { # DAEMON MEMBER
+    CLI_AT=$1 cli status --json | json "it.get('$2')"
+}
+
+all_at_version() { # VERSION DAEMON...
+    local version=$1 name
+    shift
+    for name in "$@"; do
+        [ "$(status_of "$name" in_force)" = "$version" ] || return 1
+    done
+}
+
 rm -rf "$RUN_DIR"
 mkdir -p "$RUN_DIR"
 block_take
@@ -325,9 +355,11 @@
         tema-b-2:tema-b:entry
 }
 
-# Delays between zones and from targets and callers of all zones.
+# Delays between zones, and of 3 ms to and from callers.
 latency() { # MS between zones
     local a b
+    ctl fabric "fault 127.$B.30.* * delay=3" >/dev/null
+    ctl fabric "fault * 127.$B.30.* delay=3" >/dev/null
     for a in "${!ZONES[@]}"; do
         for b in "${!ZONES[@]}"; do
             [ "$a" = "$b" ] ||
--- a/tests/stand-ins/lib_fault.c
+++ b/tests/stand-ins/lib_fault.c
@@ -221,7 +221,10 @@
     return rule != NULL && rule->cut != 0;
 }
 
-/* The delay of the next packet or piece of a stream from SRC to DST. */
+/*
+ * The delay of the next packet or piece of a stream from SRC to DST; parts
+ * of a millisecond are rounded up as often as they weigh.
+ */
 uint32_t
 fault_delay_ms(struct fault_rules *rules, uint32_t src, uint32_t dst)
 {
@@ -230,8 +233,12 @@
     if (rule == NULL) {
         return 0;
     }
+    if (rule->delay_ms == 0 && rule->jitter_ms == 0) {
+        return 0;
+    }
     return (uint32_t)(rule->delay_ms +
-                      rule->jitter_ms * g_rand_double(rules->random));
+                      rule->jitter_ms * g_rand_double(rules->random) +
+                      g_rand_double(rules->random));
 }
 
 /* A number below BELOW from the seed. */
