Add the spreading core: versions through a tree, targets by difference

Cause: a committed version has to be staged on all live entry daemons before it is in force, and targets' announcements have to reach them.

--- a/src/member/spread.h
+++ b/src/member/spread.h
@@ -78,7 +78,7 @@
             uint64_t version;
             struct spread_range range;
             uint32_t done, known; /* daemons of the range */
-            uint64_t done_digest; /* XOR of their ids */
+            uint64_t done_digest; /* of their ids and incarnations */
             uint32_t lacking_count;
             struct daemon_id lacking[SPREAD_LACKING_MAX];
         } report;
@@ -103,6 +103,7 @@
         } digests;
         struct {
             uint32_t bits, bucket;
+            bool request; /* send what is newer than these items */
             const struct spread_stamp *items;
             size_t count;
         } stamps;
@@ -242,6 +243,7 @@
 
 uint64_t spread_core_staged(const struct spread_core *);
 uint64_t spread_core_active(const struct spread_core *);
+bool spread_core_caught_up(const struct spread_core *);
 size_t spread_core_unreachable_zones(const struct spread_core *,
                                      uint32_t *zones, size_t max);
 bool spread_core_status(const struct spread_core *, uint64_t version,
--- /dev/null
+++ b/src/member/spread_lead.c
@@ -0,0 +1,203 @@
+/* What the daemon that leads the control daemons does for a version. */
+#include "member/spread_priv.h"
+
+static struct spread_job *newest_done(struct spread_core *);
+static void begin_force(struct spread_core *, uint64_t version);
+static void drop_leader_jobs(struct spread_core *, enum spread_phase,
+                             uint64_t up_to);
+static const struct spread_job *
+find_status(const struct spread_core *, enum spread_phase, uint64_t version);
+
+/* Drop the leader's own jobs of PHASE for versions up to UP_TO. */
+static void
+drop_leader_jobs(struct spread_core *core, enum spread_phase phase,
+                 uint64_t up_to)
+{
+    for (guint i = core->jobs->len; i-- > 0;) {
+        const struct spread_job *job = g_ptr_array_index(core->jobs, i);
+
+        if (job->leader && job->phase == phase && job->version <= up_to) {
+            g_ptr_array_remove_index(core->jobs, i);
+        }
+    }
+}
+
+/* This daemon leads in TERM, or no longer does. */
+void
+spread_on_lead(struct spread_core *core, uint64_t term, bool leading)
+{
+    if (term < core->term) {
+        return;
+    }
+    if (!leading || term > core->term) {
+        drop_leader_jobs(core, SPREAD_STAGE, UINT64_MAX);
+        drop_leader_jobs(core, SPREAD_FORCE, UINT64_MAX);
+    }
+    core->term = term;
+    core->leading = leading;
+}
+
+/* A version was committed: stage it on all live entry daemons. */
+void
+spread_on_committed(struct spread_core *core, const struct spread_bytes *bytes)
+{
+    struct spread_job *job;
+    GBytes *data;
+
+    if (!core->leading || bytes->to < core->committed) {
+        return;
+    }
+    core->committed = bytes->to;
+    data = g_bytes_new(bytes->data, bytes->len);
+    job = spread_job_add(core, SPREAD_STAGE, bytes->from, bytes->to, data);
+    g_bytes_unref(data);
+    job->leader = true;
+    spread_job_send(core, job);
+    spread_lead_check(core);
+}
+
+/* The newest version that all live entry daemons have staged, or NULL. */
+static struct spread_job *
+newest_done(struct spread_core *core)
+{
+    struct spread_job *newest = NULL;
+
+    for (guint i = 0; i < core->jobs->len; i++) {
+        struct spread_job *job = g_ptr_array_index(core->jobs, i);
+        struct spread_sum sum;
+
+        if (!job->leader || job->phase != SPREAD_STAGE) {
+            continue;
+        }
+        spread_job_sum(core, job, &sum);
+        if (spread_job_done(&sum) &&
+            (newest == NULL || job->version > newest->version)) {
+            newest = job;
+        }
+    }
+    return newest;
+}
+
+static void
+begin_force(struct spread_core *core, uint64_t version)
+{
+    GBytes *none = g_bytes_new(NULL, 0);
+    struct spread_job *job;
+
+    core->in_force = MAX(core->in_force, version);
+    spread_act(core, SPREAD_ACT_IN_FORCE)->u.in_force = version;
+    drop_leader_jobs(core, SPREAD_STAGE, version);
+    drop_leader_jobs(core, SPREAD_FORCE, version);
+    job = spread_job_add(core, SPREAD_FORCE, version, version, none);
+    g_bytes_unref(none);
+    job->leader = true;
+    spread_job_send(core, job);
+}
+
+/* Put in force what all live entry daemons have staged. */
+void
+spread_lead_check(struct spread_core *core)
+{
+    struct spread_job *done;
+
+    if (!core->leading) {
+        return;
+    }
+    done = newest_done(core);
+    if (done != NULL) {
+        begin_force(core, done->version);
+    }
+    for (guint i = 0; i < core->jobs->len; i++) {
+        struct spread_job *job = g_ptr_array_index(core->jobs, i);
+        struct spread_sum sum;
+
+        if (job->leader && job->phase == SPREAD_FORCE && !job->closed) {
+            spread_job_sum(core, job, &sum);
+            job->closed = spread_job_done(&sum);
+        }
+    }
+}
+
+/* The leader's job for the lowest version that includes VERSION. */
+static const struct spread_job *
+find_status(const struct spread_core *core, enum spread_phase phase,
+            uint64_t version)
+{
+    const struct spread_job *found = NULL;
+
+    for (guint i = 0; i < core->jobs->len; i++) {
+        const struct spread_job *job = g_ptr_array_index(core->jobs, i);
+
+        if (job->leader && job->phase == phase && job->version >= version &&
+            (found == NULL || job->version < found->version)) {
+            found = job;
+        }
+    }
+    return found;
+}
+
+/*
+ * On the leader: how far VERSION has come, to STATUS.  A later version
+ * includes it.  False if VERSION is not known here.
+ */
+bool
+spread_core_status(const struct spread_core *core, uint64_t version,
+                   struct spread_status *status)
+{
+    const struct spread_job *job = find_status(core, SPREAD_FORCE, version);
+    struct spread_sum sum;
+
+    if (job == NULL) {
+        job = find_status(core, SPREAD_STAGE, version);
+    }
+    if (!core->leading || job == NULL) {
+        return false;
+    }
+    spread_job_sum(core, job, &sum);
+    *status = (struct spread_status){
+        .version = job->version,
+        .phase = job->phase,
+        .done = sum.done,
+        .known = sum.known,
+        .lacking_count = sum.lacking_count,
+    };
+    for (uint32_t i = 0; i < sum.lacking_count; i++) {
+        status->lacking[i] = sum.lacking[i];
+    }
+    return true;
+}
+
+/*
+ * The zones that are known to hold entry daemons of which none is live: up to
+ * MAX of them to ZONES, and their full number as the result.  An edit is to
+ * be refused while there is one that the operator did not except.
+ */
+size_t
+spread_core_unreachable_zones(const struct spread_core *core, uint32_t *zones,
+                              size_t max)
+{
+    GHashTable *seen = g_hash_table_new(g_direct_hash, g_direct_equal);
+    size_t found = 0;
+
+    for (guint i = 0; i < core->view->len; i++) {
+        const struct daemon_view *daemon =
+            &g_array_index(core->view, struct daemon_view, i);
+        struct spread_range zone = {daemon->zone, 0, UINT64_MAX};
+        size_t live;
+
+        if (!daemon->entry ||
+            !g_hash_table_add(seen, GUINT_TO_POINTER(daemon->zone))) {
+            continue;
+        }
+        spread_live(core, &zone, &live);
+        if (live > 0) {
+            continue;
+        }
+        if (found < max) {
+            zones[found] = daemon->zone;
+        }
+        found++;
+    }
+    g_hash_table_destroy(seen);
+    return found;
+}
--- a/src/peer/spread.pb-c.c
+++ b/src/peer/spread.pb-c.c
@@ -1317,7 +1317,7 @@
   (ProtobufCMessageInit) parsleyspur__spread_digests__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__spread_stamps__field_descriptors[3] =
+static const ProtobufCFieldDescriptor parsleyspur__spread_stamps__field_descriptors[4] =
 {
   {
     "bits",
@@ -1355,16 +1355,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__SpreadStamps, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__spread_stamps__field_indices_by_name[] = {
   0,   /* field[0] = bits */
   1,   /* field[1] = bucket */
   2,   /* field[2] = items */
+  3,   /* field[3] = request */
 };
 static const ProtobufCIntRange parsleyspur__spread_stamps__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor parsleyspur__spread_stamps__descriptor =
 {
@@ -1374,7 +1387,7 @@
   "Parsleyspur__SpreadStamps",
   "parsleyspur",
   sizeof(Parsleyspur__SpreadStamps),
-  3,
+  4,
   parsleyspur__spread_stamps__field_descriptors,
   parsleyspur__spread_stamps__field_indices_by_name,
   1,  parsleyspur__spread_stamps__number_ranges,
--- a/src/peer/spread.pb-c.h
+++ b/src/peer/spread.pb-c.h
@@ -175,10 +175,14 @@
   uint32_t bucket;
   size_t n_items;
   Parsleyspur__SpreadStamp **items;
+  /*
+   * send what is newer than these
+   */
+  protobuf_c_boolean request;
 };
 #define PARSLEYSPUR__SPREAD_STAMPS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__spread_stamps__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 typedef enum {
--- a/src/peer/spread_wire.c
+++ b/src/peer/spread_wire.c
@@ -177,6 +177,7 @@
     }
     stamps.bits = message->u.stamps.bits;
     stamps.bucket = message->u.stamps.bucket;
+    stamps.request = message->u.stamps.request;
     stamps.n_items = count;
     stamps.items = list;
     wire->body_case = PARSLEYSPUR__SPREAD_MESSAGE__BODY_STAMPS;
@@ -398,6 +399,7 @@
     items = g_new0(struct spread_stamp, wire->n_items);
     out->u.stamps.bits = wire->bits;
     out->u.stamps.bucket = wire->bucket;
+    out->u.stamps.request = wire->request;
     out->u.stamps.items = items;
     out->u.stamps.count = wire->n_items;
     for (size_t i = 0; i < wire->n_items; i++) {
