--- a/src/flow/flow_copy.c
+++ b/src/flow/flow_copy.c
@@ -202,14 +202,26 @@
     }
 }
 
-/* Whether the copy has everything that the lead has recorded. */
+/* Whether the copy lacks no more than what is on its way. */
 bool
-flow_copy_done(const struct flow_pool *pool, enum flow_replica_role role)
+flow_copy_near(const struct flow_pool *pool,
+               const struct flow_replica *replica)
 {
-    const struct flow_replica *replica = &pool->replicas[role];
-
     return replica->to.value != 0 && replica->cursor == pool->bucket_count &&
-           replica->started && replica->queue->len == 0;
+           replica->started && replica->queue->len < QUEUE_MAX;
+}
+
+/* Send what the copies lack, without regard to the budget. */
+void
+flow_copy_flush(struct flow_core *core, struct flow_pool *pool)
+{
+    for (int role = 0; role < FLOW_REPLICA__MAX; role++) {
+        struct flow_replica *replica = &pool->replicas[role];
+
+        if (replica->to.value != 0) {
+            send_records(core, pool, replica);
+        }
+    }
 }
 
 /* The copy's holder has all records before the position. */
--- a/src/flow/flow_state.h
+++ b/src/flow/flow_state.h
@@ -261,7 +261,8 @@
                        const struct flow_message *);
 void flow_copy_ack(struct flow_core *, struct daemon_id,
                    const struct flow_message *);
-bool flow_copy_done(const struct flow_pool *, enum flow_replica_role);
+bool flow_copy_near(const struct flow_pool *, const struct flow_replica *);
+void flow_copy_flush(struct flow_core *, struct flow_pool *);
 uint64_t flow_copy_end(const struct flow_replica *);
 bool flow_copy_reached(const struct flow_replica *, uint64_t position);
 void flow_copy_counts(struct flow_core *, struct flow_pool *);
--- a/src/flow/flow_term.c
+++ b/src/flow/flow_term.c
@@ -175,17 +175,15 @@
     else {
         flow_copy_attach(core, pool, FLOW_REPLICA_HEIR, heir);
     }
-    if (pool->dirty ||
-        !flow_copy_done(pool, copy == &pool->replicas[FLOW_REPLICA_SECOND]
-                                  ? FLOW_REPLICA_SECOND
-                                  : FLOW_REPLICA_HEIR) ||
+    if (pool->dirty || !flow_copy_near(pool, copy) ||
         !flow_map_acked(pool, heir)) {
         return;
     }
     pool->grant_to = heir;
     pool->grant_epoch = next_epoch(pool, heir);
     pool->grant_stream = copy->stream;
-    pool->grant_position = copy->acked;
+    pool->grant_position = flow_copy_end(copy);
+    flow_copy_flush(core, pool);
     flow_copy_counts(core, pool);
     flow_term_depose(core, pool);
     pool->granted = true;
@@ -201,6 +199,7 @@
         begin(core, pool, next_epoch(pool, core->options.self));
         return;
     }
+    flow_copy_flush(core, pool);
     if (core->now_us > pool->grant_us + FLOW_RESEND_US) {
         send_grant(core, pool);
     }
