Resend an unacknowledged empty copy and take back a grant not taken up

An empty first message of a copy that was lost left the heir without a stream, and the old lead repeated its grant for ever.

--- a/src/flow/flow_copy.c
+++ b/src/flow/flow_copy.c
@@ -130,7 +130,7 @@
     guint from;
     guint count;
 
-    if (replica->sent > replica->acked &&
+    if ((replica->sent > replica->acked || !replica->confirmed) &&
         core->now_us > replica->sent_us + FLOW_RESEND_US) {
         replica->sent = replica->acked;
         replica->started = false;
@@ -208,7 +208,7 @@
                const struct flow_replica *replica)
 {
     return replica->to.value != 0 && replica->cursor == pool->bucket_count &&
-           replica->started && replica->queue->len < QUEUE_MAX;
+           replica->confirmed && replica->queue->len < QUEUE_MAX;
 }
 
 /* Send what the copies lack, without regard to the budget. */
@@ -236,13 +236,14 @@
 
         if (replica->to.value != from.value || message->epoch != pool->epoch ||
             message->stream != replica->stream ||
-            message->position <= replica->acked ||
+            message->position < replica->acked ||
             message->position > flow_copy_end(replica)) {
             continue;
         }
         g_array_remove_range(replica->queue, 0,
                              (guint)(message->position - replica->acked));
         replica->acked = message->position;
+        replica->confirmed = true;
         replica->sent_us = core->now_us;
     }
 }
--- a/src/flow/flow_map.c
+++ b/src/flow/flow_map.c
@@ -179,7 +179,7 @@
             flow_table_clear(&pool->table);
         }
         apply(core, pool, message);
-        pool->granted = pool->granted && pool->epoch < pool->grant_epoch;
+        pool->granted = false;
         if (deposed) {
             flow_copy_merge(core, pool, from);
         }
--- a/src/flow/flow_state.h
+++ b/src/flow/flow_state.h
@@ -81,6 +81,7 @@
     uint64_t sent_us;
     uint32_t cursor; /* next bucket of the snapshot */
     bool started;
+    bool confirmed; /* acknowledged at least once */
 };
 
 enum flow_replica_role {
@@ -130,6 +131,7 @@
     uint64_t counts_us;
     uint64_t share_check_us;
     uint64_t grant_us;
+    uint64_t granted_us;
     uint64_t grant_epoch;
     uint64_t grant_stream;
     uint64_t grant_position;
--- a/src/flow/flow_term.c
+++ b/src/flow/flow_term.c
@@ -5,6 +5,7 @@
 #define SECOND_WAIT_US 300000   /* before the holder of an older copy acts */
 #define OTHERS_WAIT_US 600000   /* before a daemon without a copy acts */
 #define FORWARD_ON_US  1000000  /* after the hand-over, before the stop */
+#define GRANT_LIMIT_US 2000000  /* a grant not taken up is taken back */
 #define STOP_LIMIT_US  20000000 /* a stop does not wait longer */
 
 static void begin(struct flow_core *, struct flow_pool *, uint64_t epoch);
@@ -187,6 +188,7 @@
     flow_copy_counts(core, pool);
     flow_term_depose(core, pool);
     pool->granted = true;
+    pool->granted_us = core->now_us;
     core->counters.handovers++;
     send_grant(core, pool);
 }
@@ -195,7 +197,8 @@
 static void
 granted_tick(struct flow_core *core, struct flow_pool *pool)
 {
-    if (!flow_peer_alive(core, pool->grant_to)) {
+    if (!flow_peer_alive(core, pool->grant_to) ||
+        core->now_us > pool->granted_us + GRANT_LIMIT_US) {
         begin(core, pool, next_epoch(pool, core->options.self));
         return;
     }
@@ -281,6 +284,10 @@
         return;
     }
     if (pool->buckets == NULL) {
+        if (!flow_peer_alive(core, from)) {
+            pool->query_start_us = core->now_us; /* views are incomplete */
+            g_array_set_size(pool->no_map, 0);
+        }
         flow_send(core, from, FLOW_MSG_NO_MAP, pool->id);
         return;
     }
