--- a/src/flow/flow_core.c
+++ b/src/flow/flow_core.c
@@ -24,6 +24,7 @@
 static void take_message(struct flow_core *, struct daemon_id,
                          const struct flow_message *);
 static void tick(struct flow_core *);
+static void update_gauges(struct flow_core *);
 
 static const char *const reason_names[FLOW_REASON__MAX] = {
     "none",        "no_route",       "not_stream",  "no_map",
@@ -76,8 +77,6 @@
     core->endpoints = g_array_new(FALSE, TRUE, sizeof(struct flow_endpoint));
     core->pools = g_ptr_array_new_with_free_func(flow_pool_free);
     core->routes = g_ptr_array_new_with_free_func(g_free);
-    core->route_of =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     core->peers = g_array_new(FALSE, TRUE, sizeof(struct flow_peer));
     core->views = g_array_new(FALSE, TRUE, sizeof(struct daemon_view));
     core->suspects =
@@ -96,7 +95,7 @@
     g_array_unref(core->endpoints);
     g_ptr_array_unref(core->pools);
     g_ptr_array_unref(core->routes);
-    g_hash_table_unref(core->route_of);
+    g_free(core->route_slots);
     g_array_unref(core->peers);
     g_array_unref(core->views);
     g_hash_table_unref(core->suspects);
@@ -173,6 +172,17 @@
     }
 }
 
+static void
+update_gauges(struct flow_core *core)
+{
+    core->counters.table_bytes = 0;
+    for (guint i = 0; i < core->pools->len; i++) {
+        const struct flow_pool *pool = core->pools->pdata[i];
+
+        core->counters.table_bytes += flow_table_bytes(&pool->table);
+    }
+}
+
 static void
 tick(struct flow_core *core)
 {
@@ -192,6 +202,7 @@
     }
     flow_silent_tick(core);
     flow_term_stop(core);
+    update_gauges(core);
 }
 
 /* Take one event in; actions are appended to OUT. */
--- a/src/flow/flow_packet.c
+++ b/src/flow/flow_packet.c
@@ -290,7 +290,7 @@
                                : hand_on_to(look, (struct pool_id){0}, peer);
     }
     pool = first_pool(look);
-    tell = must_tell_lead(look);
+    tell = !pool->acting && must_tell_lead(look);
     if (!tell && !pool->acting && learned(look, &endpoint)) {
         return forward(look, pool, endpoint);
     }
--- a/src/flow/flow_route.c
+++ b/src/flow/flow_route.c
@@ -9,8 +9,14 @@
 #define ROUTES_REPEAT_US UINT64_C(10000000)
 #define SYNC_LIMIT_US    1000000 /* a joining daemon waits for its peers */
 #define RATE_UNIT        1000000
+#define SLOTS_MIN        16
+#define HASH_FACTOR      UINT64_C(0x9e3779b97f4a7c15)
 
 static uint64_t route_key(uint32_t, uint16_t);
+static struct flow_route_slot *slot_of(const struct flow_core *, uint64_t);
+static void index_routes(struct flow_core *);
+static struct flow_route *find_exact(const struct flow_core *, uint32_t,
+                                     uint16_t);
 static void set_route(struct flow_core *, const struct route_view *,
                       uint64_t version);
 static void drop_gone(struct flow_core *);
@@ -24,27 +30,67 @@
     return (uint64_t)address << 16 | port;
 }
 
+/* The slot of KEY, or the free one where it belongs. */
+static struct flow_route_slot *
+slot_of(const struct flow_core *core, uint64_t key)
+{
+    uint32_t mask = core->route_slot_count - 1;
+    uint32_t i = (uint32_t)((key * HASH_FACTOR) >> 32) & mask;
+
+    while (core->route_slots[i].route != NULL &&
+           core->route_slots[i].key != key) {
+        i = (i + 1) & mask;
+    }
+    return &core->route_slots[i];
+}
+
+/* Build the slots anew from the routes, at most half of them taken. */
+static void
+index_routes(struct flow_core *core)
+{
+    uint32_t count = SLOTS_MIN;
+
+    while (count < core->routes->len * 2) {
+        count *= 2;
+    }
+    g_free(core->route_slots);
+    core->route_slots = g_new0(struct flow_route_slot, count);
+    core->route_slot_count = count;
+    for (guint i = 0; i < core->routes->len; i++) {
+        struct flow_route *route = core->routes->pdata[i];
+        uint64_t key = route_key(route->view.address, route->view.port);
+        struct flow_route_slot *slot = slot_of(core, key);
+
+        slot->key = key;
+        slot->route = route;
+    }
+}
+
+/* The route of exactly PORT at ADDRESS, or NULL. */
+static struct flow_route *
+find_exact(const struct flow_core *core, uint32_t address, uint16_t port)
+{
+    if (core->route_slot_count == 0) {
+        return NULL;
+    }
+    return slot_of(core, route_key(address, port))->route;
+}
+
 /* The route of PORT at ADDRESS, or of all its ports, or NULL. */
 struct flow_route *
 flow_route_find(const struct flow_core *core, uint32_t address, uint16_t port)
 {
-    uint64_t key = route_key(address, port);
-    struct flow_route *route = g_hash_table_lookup(core->route_of, &key);
+    struct flow_route *route = find_exact(core, address, port);
 
-    if (route == NULL) {
-        key = route_key(address, 0);
-        route = g_hash_table_lookup(core->route_of, &key);
-    }
-    return route;
+    return route != NULL || port == 0 ? route : find_exact(core, address, 0);
 }
 
 static void
 set_route(struct flow_core *core, const struct route_view *view,
           uint64_t version)
 {
-    uint64_t key = route_key(view->address, view->port);
     struct flow_pool *pool = flow_pool_get(core, view->pool);
-    struct flow_route *route = g_hash_table_lookup(core->route_of, &key);
+    struct flow_route *route = find_exact(core, view->address, view->port);
     struct flow_route *before =
         flow_route_find(core, view->address, view->port);
 
@@ -55,8 +101,6 @@
         route->tokens = (int64_t)view->new_flows_per_s * RATE_UNIT;
         route->everywhere = true;
         g_ptr_array_add(core->routes, route);
-        g_hash_table_insert(core->route_of, g_memdup2(&key, sizeof(key)),
-                            route);
     }
     if (route->pool != pool) {
         route->former = route->pool;
@@ -75,10 +119,8 @@
 {
     for (guint i = core->routes->len; i-- > 0;) {
         struct flow_route *route = core->routes->pdata[i];
-        uint64_t key = route_key(route->view.address, route->view.port);
 
         if (route->gone) {
-            g_hash_table_remove(core->route_of, &key);
             g_ptr_array_remove_index_fast(core->routes, i);
         }
     }
@@ -102,6 +144,7 @@
         set_route(core, &event->u.routes.items[i], version);
     }
     drop_gone(core);
+    index_routes(core);
     core->routes_version = version;
     for (guint i = 0; i < core->peers->len; i++) {
         g_array_index(core->peers, struct flow_peer, i).sent_us = 0;
--- a/src/flow/flow_state.h
+++ b/src/flow/flow_state.h
@@ -161,6 +161,11 @@
     uint64_t tokens_us;
 };
 
+struct flow_route_slot {
+    uint64_t key;             /* address << 16 | port */
+    struct flow_route *route; /* NULL: free */
+};
+
 struct flow_peer {
     struct daemon_view view;
     uint64_t routes_version;
@@ -174,10 +179,11 @@
     uint64_t now_us;
     struct flow_actions *out;
     GRand *rand;
-    GArray *endpoints;    /* struct flow_endpoint */
-    GPtrArray *pools;     /* struct flow_pool, owned */
-    GPtrArray *routes;    /* struct flow_route, owned */
-    GHashTable *route_of; /* address and port to struct flow_route */
+    GArray *endpoints;                   /* struct flow_endpoint */
+    GPtrArray *pools;                    /* struct flow_pool, owned */
+    GPtrArray *routes;                   /* struct flow_route, owned */
+    struct flow_route_slot *route_slots; /* by address and port */
+    uint32_t route_slot_count;           /* a power of two, or 0 */
     GArray *peers;        /* struct flow_peer, live entry daemons but self */
     GArray *views;        /* struct daemon_view as given */
     GHashTable *versions; /* daemon to its routes version */
--- a/src/flow/flow_table.c
+++ b/src/flow/flow_table.c
@@ -8,10 +8,11 @@
 #define CAPACITY_MIN 64
 #define OVERFLOW     256 /* slots behind the last home slot */
 #define LOAD_PERCENT 80  /* above it the table grows */
-#define GROW_PERCENT 125
+#define GROW_PERCENT 150
 
 static void grow(struct flow_table *);
-static bool place(struct flow_table *, const struct flow_entry *);
+static struct flow_entry *place(struct flow_table *,
+                                const struct flow_entry *);
 
 /* An empty table; it takes memory with the first flow. */
 void
@@ -61,8 +62,8 @@
     return NULL;
 }
 
-/* Put ENTRY into the first free slot; false if there is none. */
-static bool
+/* Put ENTRY into the first free slot; NULL if there is none. */
+static struct flow_entry *
 place(struct flow_table *table, const struct flow_entry *entry)
 {
     uint32_t home = flow_table_home(table, flow_entry_digest(entry));
@@ -72,10 +73,10 @@
         home++;
     }
     if (home >= last) {
-        return false; /* the last slot stays empty and ends every search */
+        return NULL; /* the last slot stays empty and ends every search */
     }
     table->slots[home] = *entry;
-    return true;
+    return &table->slots[home];
 }
 
 /* Enlarge the table until every flow has its place. */
@@ -94,7 +95,7 @@
         placed = true;
         for (uint32_t i = 0; i < end && placed; i++) {
             if (old.slots[i].record != 0) {
-                placed = place(table, &old.slots[i]);
+                placed = place(table, &old.slots[i]) != NULL;
             }
         }
         if (!placed) {
@@ -109,16 +110,19 @@
 flow_table_insert(struct flow_table *table, uint64_t digest, uint16_t target)
 {
     struct flow_entry entry = {.record = digest << 16 | target};
+    struct flow_entry *slot;
 
     if ((uint64_t)(table->used + 1) * 100 >
         (uint64_t)table->capacity * LOAD_PERCENT) {
         grow(table);
     }
-    while (!place(table, &entry)) {
+    slot = place(table, &entry);
+    while (slot == NULL) {
         grow(table);
+        slot = place(table, &entry);
     }
     table->used++;
-    return flow_table_find(table, digest);
+    return slot;
 }
 
 /* Remove ENTRY, moving back those behind it that it kept from home. */
