--- a/tests/property/prop_flow.cc
+++ b/tests/property/prop_flow.cc
@@ -119,9 +119,14 @@
     for (uint32_t i = 0; i < count; i++) {
         bool stays = fleet_random(fleet, 4) != 0;
 
-        fleet_add_flow(fleet, i % fleet->route_count,
-                       fleet->now + fleet_random(fleet, 200000), 400000,
-                       stays ? 0 : fleet->now + 1000000);
+        uint32_t flow =
+            fleet_add_flow(fleet, i % fleet->route_count,
+                           fleet->now + fleet_random(fleet, 200000), 400000,
+                           stays ? 0 : fleet->now + 1000000);
+
+        if (fleet_random(fleet, 4) == 0) {
+            fleet_flow_at(fleet, flow)->protocol = IPPROTO_UDP;
+        }
     }
 }
 
