--- a/src/flow/flow_copy.c
+++ b/src/flow/flow_copy.c
@@ -130,7 +130,7 @@
     guint from;
     guint count;
 
-    if (replica->sent > replica->acked &&
+    if ((replica->sent > replica->acked || !replica->confirmed) &&
         core->now_us > replica->sent_us + FLOW_RESEND_US) {
         replica->sent = replica->acked;
         replica->started = false;
@@ -202,14 +202,26 @@
     }
 }
 
-/* Whether the copy has everything that the lead has recorded. */
+/* Whether the copy lacks no more than what is on its way. */
 bool
-flow_copy_done(const struct flow_pool *pool, enum flow_replica_role role)
+flow_copy_near(const struct flow_pool *pool,
+               const struct flow_replica *replica)
 {
-    const struct flow_replica *replica = &pool->replicas[role];
-
     return replica->to.value != 0 && replica->cursor == pool->bucket_count &&
-           replica->started && replica->queue->len == 0;
+           replica->confirmed && replica->queue->len < QUEUE_MAX;
+}
+
+/* Send what the copies lack, without regard to the budget. */
+void
+flow_copy_flush(struct flow_core *core, struct flow_pool *pool)
+{
+    for (int role = 0; role < FLOW_REPLICA__MAX; role++) {
+        struct flow_replica *replica = &pool->replicas[role];
+
+        if (replica->to.value != 0) {
+            send_records(core, pool, replica);
+        }
+    }
 }
 
 /* The copy's holder has all records before the position. */
@@ -224,13 +236,14 @@
 
         if (replica->to.value != from.value || message->epoch != pool->epoch ||
             message->stream != replica->stream ||
-            message->position <= replica->acked ||
+            message->position < replica->acked ||
             message->position > flow_copy_end(replica)) {
             continue;
         }
         g_array_remove_range(replica->queue, 0,
                              (guint)(message->position - replica->acked));
         replica->acked = message->position;
+        replica->confirmed = true;
         replica->sent_us = core->now_us;
     }
 }
--- a/src/flow/flow_state.h
+++ b/src/flow/flow_state.h
@@ -81,6 +81,7 @@
     uint64_t sent_us;
     uint32_t cursor; /* next bucket of the snapshot */
     bool started;
+    bool confirmed; /* acknowledged at least once */
 };
 
 enum flow_replica_role {
@@ -130,6 +131,7 @@
     uint64_t counts_us;
     uint64_t share_check_us;
     uint64_t grant_us;
+    uint64_t granted_us;
     uint64_t grant_epoch;
     uint64_t grant_stream;
     uint64_t grant_position;
@@ -159,6 +161,11 @@
     uint64_t tokens_us;
 };
 
+struct flow_route_slot {
+    uint64_t key;             /* address << 16 | port */
+    struct flow_route *route; /* NULL: free */
+};
+
 struct flow_peer {
     struct daemon_view view;
     uint64_t routes_version;
@@ -172,10 +179,11 @@
     uint64_t now_us;
     struct flow_actions *out;
     GRand *rand;
-    GArray *endpoints;    /* struct flow_endpoint */
-    GPtrArray *pools;     /* struct flow_pool, owned */
-    GPtrArray *routes;    /* struct flow_route, owned */
-    GHashTable *route_of; /* address and port to struct flow_route */
+    GArray *endpoints;                   /* struct flow_endpoint */
+    GPtrArray *pools;                    /* struct flow_pool, owned */
+    GPtrArray *routes;                   /* struct flow_route, owned */
+    struct flow_route_slot *route_slots; /* by address and port */
+    uint32_t route_slot_count;           /* a power of two, or 0 */
     GArray *peers;        /* struct flow_peer, live entry daemons but self */
     GArray *views;        /* struct daemon_view as given */
     GHashTable *versions; /* daemon to its routes version */
@@ -261,7 +269,8 @@
                        const struct flow_message *);
 void flow_copy_ack(struct flow_core *, struct daemon_id,
                    const struct flow_message *);
-bool flow_copy_done(const struct flow_pool *, enum flow_replica_role);
+bool flow_copy_near(const struct flow_pool *, const struct flow_replica *);
+void flow_copy_flush(struct flow_core *, struct flow_pool *);
 uint64_t flow_copy_end(const struct flow_replica *);
 bool flow_copy_reached(const struct flow_replica *, uint64_t position);
 void flow_copy_counts(struct flow_core *, struct flow_pool *);
