Prove the calls over several daemons by generated histories

Cause: the promises on calls must hold while daemons freeze, die, restart, stop and are cut off, and while targets misbehave. Change: a small world of call cores in simulated time, and two properties. It found: a stopping daemon that ended while peers still handed packets on; packets that went round between two daemons with different views; and that a paused daemon reads requests of unknown age, which are now dropped.

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -98,6 +98,7 @@
     CALL_REASON_WRONG_KIND,
     CALL_REASON_WRONG_PARTS,
     CALL_REASON_HOPS,
+    CALL_REASON_STALLED, /* of unknown age: the daemon has just stood still */
     CALL_REASON_NO_LEAD,
     CALL_REASON__MAX
 };
--- a/src/call/call_change.c
+++ b/src/call/call_change.c
@@ -2,6 +2,7 @@
 #include "call/call_internal.h"
 
 static bool is_unsent(const struct call *);
+static void pass_on(struct call_step *, struct call_pool *);
 
 /* True if CALL can go to another daemon without anything being run twice. */
 static bool
@@ -23,6 +24,25 @@
     return false;
 }
 
+/* Hand on to the lead what is neither sent nor recorded here. */
+static void
+pass_on(struct call_step *step, struct call_pool *pool)
+{
+    GList *link = pool->open.head;
+
+    while (pool->view_lead.value != 0 && link != NULL) {
+        struct call *call = link->data;
+
+        link = link->next;
+        if (is_unsent(call) && !call->held &&
+            call->offset == CALL_OFFSET_NONE &&
+            step->now_us < call->deadline_us &&
+            (call->state != CALL_WAITING || step->core->stop_us != 0)) {
+            call_release(step, pool, call, pool->view_lead, 0);
+        }
+    }
+}
+
 /* The daemons' view names another lead than before. */
 void
 call_lead_changed(struct call_step *step, struct call_pool *pool,
@@ -30,8 +50,6 @@
 {
     struct daemon_id before = pool->view_lead;
     uint64_t self = step->core->options.self.value;
-    GList *link = pool->open.head;
-
     if (lead.value == before.value) {
         return;
     }
@@ -47,15 +65,15 @@
     if (before.value != self || lead.value == 0) {
         return;
     }
-    while (link != NULL) {
-        struct call *call = link->data;
+    pass_on(step, pool);
+}
 
-        link = link->next;
-        if (is_unsent(call) && !call->held &&
-            call->offset == CALL_OFFSET_NONE &&
-            (call->state != CALL_WAITING || step->core->stop_us != 0)) {
-            call_release(step, pool, call, lead, 0);
-        }
+/* Hand the calls on that the daemons' views left here for a while. */
+void
+call_lead_tick(struct call_step *step, struct call_pool *pool)
+{
+    if (!call_is_lead(step->core, pool) && pool->lead.epoch.number == 0) {
+        pass_on(step, pool);
     }
 }
 
--- a/src/call/call_core.c
+++ b/src/call/call_core.c
@@ -5,6 +5,8 @@
 
 #define EVIDENCE_EVERY_US 1000000
 #define STOP_LEAD_US      5000000 /* for a new lead to take over */
+#define STOP_LINGER_US    1000000 /* while peers may still hand packets on */
+#define STALL_DRAIN_US    100000  /* to read what has piled up in sockets */
 
 static const struct call_options call_defaults = {
     .incarnation = 1,
@@ -42,6 +44,7 @@
     [CALL_REASON_WRONG_KIND] = "wrong-kind",
     [CALL_REASON_WRONG_PARTS] = "wrong-parts",
     [CALL_REASON_HOPS] = "hops",
+    [CALL_REASON_STALLED] = "stalled",
     [CALL_REASON_NO_LEAD] = "no-lead",
 };
 
@@ -284,7 +287,8 @@
 {
     struct call_core *core = step->core;
     uint64_t limit = core->stop_us + call_retention_us(core);
-    bool waits = false;
+    bool waits =
+        step->now_us < MAX(core->stop_us, core->handed_us) + STOP_LINGER_US;
 
     if (core->stop_us == 0 || core->stopped) {
         return;
@@ -316,6 +320,7 @@
 
         call_log_expire(&pool->log, step->now_us);
         call_epoch_tick(step, pool);
+        call_lead_tick(step, pool);
         call_tick(step, pool);
         finish(step, pool);
         if (report) {
@@ -362,6 +367,20 @@
     g_array_free(daemons, TRUE);
 }
 
+/*
+ * After a pause of the process, packets that it reads may be older than the
+ * time that ids are remembered beyond their deadline: they are not taken.
+ */
+static void
+watch_stall(struct call_core *core, uint64_t now_us)
+{
+    if (core->last_step_us != 0 &&
+        now_us >= core->last_step_us + core->options.retry_window_us / 2) {
+        core->stalled_until_us = now_us + STALL_DRAIN_US;
+    }
+    core->last_step_us = now_us;
+}
+
 /* Take EVENT at NOW_US and append what follows from it to OUT. */
 void
 call_core_step(struct call_core *core, uint64_t now_us,
@@ -370,6 +389,7 @@
     struct call_step step = {core, now_us, out};
     struct call_pool *pool = NULL;
 
+    watch_stall(core, now_us);
     g_ptr_array_set_size(core->trash, 0);
     g_ptr_array_set_size(core->messages, 0);
     switch (event->kind) {
--- a/src/call/call_internal.h
+++ b/src/call/call_internal.h
@@ -155,9 +155,12 @@
     GPtrArray *messages;
     uint64_t sequence;
     uint64_t next_evidence_us;
-    bool daemon_missing;     /* an entry daemon is suspected or dead */
-    uint64_t daemon_lost_us; /* when one was last missed */
-    uint64_t stop_us;        /* 0: not stopping */
+    uint64_t last_step_us;
+    uint64_t stalled_until_us; /* requests till then are of unknown age */
+    bool daemon_missing;       /* an entry daemon is suspected or dead */
+    uint64_t daemon_lost_us;   /* when one was last missed */
+    uint64_t stop_us;          /* 0: not stopping */
+    uint64_t handed_us;        /* a peer last handed a packet on to here */
     bool stopped;
 };
 
@@ -292,6 +295,7 @@
 /* call_change.c */
 void call_lead_changed(struct call_step *, struct call_pool *,
                        struct daemon_id lead);
+void call_lead_tick(struct call_step *, struct call_pool *);
 void call_superseded_release(struct call_step *, struct call_pool *,
                              uint64_t epoch, struct daemon_id to);
 
--- a/src/call/call_packet.c
+++ b/src/call/call_packet.c
@@ -3,6 +3,8 @@
 
 static void former_unknown(struct call_step *, struct call_pool *,
                            const struct call_packet *);
+static bool serves(const struct call_core *, const struct call_pool *,
+                   const struct call_packet *);
 static void packet_here(struct call_step *, struct call_pool *,
                         const struct call_packet *);
 
@@ -56,6 +58,23 @@
     }
 }
 
+/*
+ * True if this daemon decides PACKET: as the lead by its own view; as the
+ * holder of the epoch, if a peer takes it for the lead; or because the
+ * daemons' views disagree for now and a request has come far enough.
+ */
+static bool
+serves(const struct call_core *core, const struct call_pool *pool,
+       const struct call_packet *packet)
+{
+    bool holds = pool->lead.epoch.number != 0 && pool->lead.collected &&
+                 pool->promised <= pool->lead.epoch.number;
+
+    return call_is_lead(core, pool) || (packet->hops > 0 && holds) ||
+           (packet->hops >= CALL_HOPS_MAX && packet->target == 0 &&
+            packet->option.kind == CALL_REQUEST);
+}
+
 /* Decide a packet here, or hand it on to the pool's lead. */
 void
 call_packet(struct call_step *step, struct call_pool *pool,
@@ -69,12 +88,19 @@
         call_drop(step, pool, CALL_REASON_WRONG_PARTS);
         return;
     }
+    if (packet->hops > 0) {
+        step->core->handed_us = step->now_us;
+    }
+    if (packet->target == 0 && step->now_us < step->core->stalled_until_us) {
+        call_drop(step, pool, CALL_REASON_STALLED);
+        return;
+    }
     if (packet->former && (call == NULL || call->state == CALL_FORMER)) {
         former_unknown(step, pool, packet);
         return;
     }
     if ((call != NULL && call->state != CALL_FORMER) ||
-        call_is_lead(step->core, pool)) {
+        serves(step->core, pool, packet)) {
         packet_here(step, pool, packet);
         return;
     }
--- /dev/null
+++ b/tests/property/prop_call_world.h
@@ -0,0 +1,145 @@
+/*
+ * Several call cores with a lossy network, a fake authority for epochs and
+ * stand-ins for targets and callers, in simulated time.  Everything follows
+ * from a seed and a list of words, so that a failing history can be repeated.
+ */
+#ifndef PS_TESTS_PROP_CALL_WORLD_H
+#define PS_TESTS_PROP_CALL_WORLD_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+extern "C" {
+#include "base/hash.h"
+#include "call/call.h"
+#include "peer/call_wire.h"
+}
+
+namespace call_world {
+
+const uint64_t MS = 1000;
+const uint64_t DEADLINE_MAX = 2000 * MS;
+const uint64_t RETRY_WINDOW = 800 * MS;
+const uint64_t LEASE = 700 * MS;
+const uint64_t HISTORY = 3000 * MS;
+const uint64_t SETTLE = 3500 * MS;
+const unsigned DAEMONS = 4;
+const unsigned TARGETS = 4; /* two for each pool */
+const unsigned POOLS = 2;
+const uint32_t TARGET_BASE = 0x0a000001;
+
+using Key = std::tuple<unsigned, uint32_t, uint64_t>; /* pool, caller, id */
+using Attempt = std::tuple<Key, uint32_t>;
+
+struct Packet {
+    call_packet head{};
+    std::string payload;
+};
+
+struct Call {
+    bool idempotent = false;
+    uint32_t parts = 1;
+    uint64_t deadline_us = 0;
+    unsigned runs = 0;
+    bool told_not_run = false;
+    bool ended = false;
+    bool cut_off = false;                   /* a packet of it was lost */
+    std::map<uint64_t, std::string> answer; /* by the daemon that gave it */
+    std::map<uint64_t, uint32_t> parts_given;
+};
+
+struct Daemon {
+    call_core *core = nullptr;
+    uint64_t incarnation = 0;
+    uint64_t frozen_until = 0;
+    uint64_t frozen_since = 0;
+    bool alive = false;
+    bool stopping = false;
+    unsigned side = 0;
+    unsigned blind_to = DAEMONS; /* a daemon that this one takes for dead */
+};
+
+struct Target {
+    unsigned mode = 0;
+    std::map<Attempt, std::set<uint32_t>> parts;
+    std::set<Attempt> seen;
+};
+
+struct Options {
+    bool lossy; /* the network and daemons may fail */
+};
+
+class World {
+  public:
+    World(uint32_t seed, Options options);
+    ~World();
+    void run(const std::vector<uint32_t> &words);
+
+    std::string fault; /* the first broken promise; empty if none */
+    uint64_t answers = 0;
+    uint64_t not_run = 0;
+    uint64_t unknown = 0;
+    std::map<Key, Call> calls;
+    Daemon daemons[DAEMONS];
+
+  private:
+    using Action = std::function<void()>;
+    struct Event {
+        uint64_t at;
+        uint64_t sequence;
+        Action action;
+        bool
+        operator<(const Event &other) const
+        {
+            return at != other.at ? at > other.at : sequence > other.sequence;
+        }
+    };
+
+    uint32_t random(uint32_t bound);
+    void at(uint64_t when, Action action);
+    void start(unsigned daemon);
+    void kill(unsigned daemon);
+    void to_daemon(unsigned daemon, uint64_t incarnation, Action action);
+    void step(unsigned daemon, const call_event &event);
+    void act(unsigned daemon, const call_action &action);
+    bool reaches(unsigned from, unsigned to) const;
+    void send(const Action &action);
+    void packet(unsigned daemon, const Packet &packet);
+    void pools(unsigned daemon);
+    void views();
+    void view(unsigned daemon);
+    void tick(unsigned daemon, uint64_t incarnation);
+    void want(unsigned daemon, const call_want &want);
+    void target_packet(const call_datagram &datagram);
+    void target_run(unsigned target, const Packet &request);
+    void target_answer(unsigned target, const Packet &request, call_kind kind);
+    void caller_answer(unsigned daemon, const call_datagram &datagram);
+    void caller_refuse(const call_datagram &datagram);
+    void operation(uint32_t word);
+    void request(uint32_t word);
+    void request_send(const Key &key, uint32_t deadline_ms);
+    void broken(const std::string &what, const Key &key);
+
+    uint32_t seed_;
+    Options options_;
+    uint64_t now_ = 1000 * MS;
+    uint64_t sequence_ = 0;
+    uint64_t random_count_ = 0;
+    uint64_t incarnations_ = 0;
+    std::priority_queue<Event> events_;
+    Target targets_[TARGETS];
+    call_epoch epochs_[POOLS] = {};
+};
+
+} // namespace call_world
+
+#include "prop_call_world_run.h"
+#include "prop_call_world_ends.h"
+
+#endif
--- /dev/null
+++ b/tests/property/prop_call_world_ends.h
@@ -0,0 +1,265 @@
+/* Callers and targets of a call world, and the promises that they check. */
+#ifndef PS_TESTS_PROP_CALL_WORLD_ENDS_H
+#define PS_TESTS_PROP_CALL_WORLD_ENDS_H
+
+namespace call_world {
+
+inline Key
+key_of(const call_datagram &datagram)
+{
+    return Key{(unsigned)(datagram.pool.value - 100), datagram.caller,
+               datagram.option.id};
+}
+
+inline std::string
+text_of(const Key &key)
+{
+    return std::to_string(std::get<0>(key)) + "/" +
+           std::to_string(std::get<1>(key)) + "/" +
+           std::to_string(std::get<2>(key));
+}
+
+inline void
+World::broken(const std::string &what, const Key &key)
+{
+    if (fault.empty()) {
+        fault = what + ": call " + text_of(key) + " at " +
+                std::to_string(now_ / MS) + " ms";
+    }
+}
+
+/* Send all parts of a request, each to a daemon of the fabric's choice. */
+inline void
+World::request_send(const Key &key, uint32_t deadline_ms)
+{
+    const Call &call = calls[key];
+
+    for (uint32_t part = 0; part < call.parts; part++) {
+        unsigned daemon = random(DAEMONS);
+        Packet copy;
+
+        copy.head.pool = pool_of(std::get<0>(key));
+        copy.head.caller = std::get<1>(key);
+        copy.head.caller_port = 5000;
+        copy.head.service = 0x0b000001 + std::get<0>(key);
+        copy.head.service_port = 80;
+        copy.head.option.id = std::get<2>(key);
+        copy.head.option.deadline_ms = deadline_ms;
+        copy.head.option.idempotent = call.idempotent;
+        copy.head.option.part = part;
+        copy.head.option.parts = call.parts;
+        copy.payload = "request " + text_of(key);
+        while (!options_.lossy &&
+               (!daemons[daemon].alive || daemons[daemon].stopping)) {
+            daemon = (daemon + 1) % DAEMONS;
+        }
+        send([=] { packet(daemon, copy); });
+    }
+}
+
+/* A new call with a few retries, or a cancel of an earlier one. */
+inline void
+World::request(uint32_t word)
+{
+    Key key{(word >> 4) % POOLS, 0x0c000001 + (word >> 5) % 3,
+            (word >> 7) % 8};
+    uint32_t deadline_ms = 100 + (word >> 12) % 1500;
+    unsigned retries = (word >> 24) % 4;
+
+    if (calls.count(key) != 0) {
+        unsigned daemon = random(DAEMONS);
+        Packet copy;
+
+        copy.head.pool = pool_of(std::get<0>(key));
+        copy.head.caller = std::get<1>(key);
+        copy.head.option.id = std::get<2>(key);
+        copy.head.option.kind = CALL_CANCEL;
+        copy.head.option.parts = 1;
+        send([=] { packet(daemon, copy); });
+        return;
+    }
+    calls[key].idempotent = (word >> 26) % 3 == 0;
+    calls[key].parts = 1 + (word >> 28) % 2;
+    calls[key].deadline_us = now_ + deadline_ms * MS;
+    request_send(key, deadline_ms);
+    for (unsigned i = 0; i < retries; i++) {
+        uint64_t later = random(deadline_ms + 300);
+
+        at(now_ + later * MS, [=] {
+            request_send(key, later < deadline_ms
+                                  ? deadline_ms - (uint32_t)later
+                                  : 100);
+        });
+    }
+}
+
+/* A request or cancel on its way to a target. */
+inline void
+World::target_packet(const call_datagram &datagram)
+{
+    unsigned target = datagram.target.address - TARGET_BASE;
+    Packet copy;
+
+    if (target / 2 != std::get<0>(key_of(datagram))) {
+        broken("sent to another pool's target", key_of(datagram));
+        return;
+    }
+    copy.head.pool = datagram.pool;
+    copy.head.caller = datagram.caller;
+    copy.head.caller_port = datagram.caller_port;
+    copy.head.service = datagram.service;
+    copy.head.service_port = datagram.service_port;
+    copy.head.option = datagram.option;
+    copy.payload.assign((const char *)datagram.payload, datagram.payload_len);
+    send([=] {
+        Key key{(unsigned)(copy.head.pool.value - 100), copy.head.caller,
+                copy.head.option.id};
+        Attempt attempt{key, copy.head.option.attempt};
+        std::set<uint32_t> &parts = targets_[target].parts[attempt];
+
+        if (copy.head.option.kind != CALL_REQUEST) {
+            return;
+        }
+        if (copy.payload != "request " + text_of(key)) {
+            broken("another call's request was sent", key);
+        }
+        parts.insert(copy.head.option.part);
+        if (parts.size() == copy.head.option.parts &&
+            targets_[target].seen.insert(attempt).second) {
+            target_run(target, copy);
+        }
+    });
+}
+
+/* The target takes a whole request, in the way of its mode. */
+inline void
+World::target_run(unsigned target, const Packet &request)
+{
+    Key key{(unsigned)(request.head.pool.value - 100), request.head.caller,
+            request.head.option.id};
+    unsigned mode = targets_[target].mode;
+    Call &call = calls[key];
+    uint64_t work = (1 + random(40)) * MS;
+
+    if (mode == 1 && random(2) == 0) {
+        target_answer(target, request, CALL_NOT_RUN);
+        return;
+    }
+    if (mode == 2) {
+        return; /* it has died */
+    }
+    call.runs++;
+    if (!call.idempotent && call.runs > 1) {
+        broken("a non-idempotent call ran twice", key);
+    }
+    if (call.told_not_run && !call.idempotent) {
+        broken("ran after \"not run\" was told", key);
+    }
+    if (mode == 3) {
+        return; /* it has run and died */
+    }
+    if (mode == 4) {
+        work += random(2500) * MS;
+    }
+    at(now_ + work, [=] { target_answer(target, request, CALL_ANSWER); });
+    if (mode == 5) {
+        at(now_ + work + 5 * MS,
+           [=] { target_answer(target, request, CALL_ANSWER); });
+    }
+    if (mode == 6) {
+        Packet crossed = request;
+
+        crossed.head.option.id = (crossed.head.option.id + 1) % 8;
+        crossed.head.option.attempt = 1 + random(2);
+        at(now_ + work, [=] {
+            target_answer((target + 1) % TARGETS, crossed, CALL_ANSWER);
+            target_answer((target + 1) % TARGETS, crossed, CALL_NOT_RUN);
+        });
+    }
+    if (mode == 7) {
+        at(now_ + work,
+           [=] { target_answer(target, request, CALL_OUTCOME_UNKNOWN); });
+    }
+}
+
+/* Send an answer's parts to daemons of the fabric's choice. */
+inline void
+World::target_answer(unsigned target, const Packet &request, call_kind kind)
+{
+    uint32_t parts = kind == CALL_ANSWER ? 1 + request.head.caller % 3 : 1;
+
+    for (uint32_t part = 0; part < parts; part++) {
+        unsigned daemon = random(DAEMONS);
+        Packet copy = request;
+
+        while (!options_.lossy && !daemons[daemon].alive) {
+            daemon = (daemon + 1) % DAEMONS;
+        }
+        copy.head.target = TARGET_BASE + target;
+        copy.head.option.kind = kind;
+        copy.head.option.part = part;
+        copy.head.option.parts = parts;
+        copy.payload = std::to_string(copy.head.pool.value - 100) + "/" +
+                       std::to_string(copy.head.caller) + "/" +
+                       std::to_string(copy.head.option.id) + " by " +
+                       std::to_string(target) + " attempt " +
+                       std::to_string(copy.head.option.attempt);
+        send([=] { packet(daemon, copy); });
+    }
+}
+
+/* An answer's part that a daemon gives to a caller. */
+inline void
+World::caller_answer(unsigned daemon, const call_datagram &datagram)
+{
+    Key key = key_of(datagram);
+    std::string content((const char *)datagram.payload, datagram.payload_len);
+    Call &call = calls[key];
+    uint64_t giver = call.idempotent ? daemons[daemon].incarnation : 0;
+
+    answers++;
+    if (content.rfind(text_of(key) + " by ", 0) != 0) {
+        broken("another call's answer was given", key);
+        return;
+    }
+    if (call.answer[giver].empty()) {
+        call.answer[giver] = content;
+    }
+    if (call.answer[giver] != content) {
+        broken("two contents of one answer were given", key);
+    }
+    if (datagram.option.part != call.parts_given[giver]) {
+        broken("an answer was given in pieces", key);
+    }
+    call.parts_given[giver] =
+        (datagram.option.part + 1) % datagram.option.parts;
+    call.ended = true;
+    if (call.told_not_run && !call.idempotent) {
+        broken("answered after \"not run\" was told", key);
+    }
+}
+
+inline void
+World::caller_refuse(const call_datagram &datagram)
+{
+    Key key = key_of(datagram);
+    Call &call = calls[key];
+
+    if (!options_.lossy && !call.ended && now_ > call.deadline_us + 60 * MS) {
+        broken("refused long after its deadline", key);
+    }
+    call.ended = true;
+    if (datagram.option.kind != CALL_NOT_RUN) {
+        unknown++;
+        return;
+    }
+    not_run++;
+    call.told_not_run = true;
+    if (call.runs > 0 && (!call.idempotent || !options_.lossy)) {
+        broken("\"not run\" was told of a call that ran", key);
+    }
+}
+
+} // namespace call_world
+
+#endif
