--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -188,7 +188,7 @@
         spread_on_order(core, from, message);
         break;
     case SPREAD_REPORT:
-        spread_on_report(core, from, message);
+        spread_on_report(core, message);
         break;
     case SPREAD_FETCH:
         spread_on_fetch(core, from, message->staged);
@@ -223,6 +223,15 @@
 {
     struct spread_message message = spread_start(core, SPREAD_DIFFERENCE);
 
+    if (to.value == core->options.self.value) {
+        if (bytes->to > core->ordered) {
+            spread_lead_stage(core, bytes);
+        }
+        else {
+            spread_on_difference(core, bytes);
+        }
+        return;
+    }
     message.u.difference = *bytes;
     message.u.difference.data = spread_keep(core, bytes->data, bytes->len);
     core->counters.served++;
@@ -244,6 +253,7 @@
     case SPREAD_EV_VIEW:
         spread_set_view(core, event->u.view.daemons, event->u.view.count);
         spread_holders_changed(core);
+        core->view_changed = true;
         break;
     case SPREAD_EV_LEAD:
         spread_on_lead(core, event->u.lead.term, event->u.lead.leading);
--- a/src/member/spread.h
+++ b/src/member/spread.h
@@ -72,11 +72,14 @@
             enum spread_phase phase;
             struct spread_range range;
             struct spread_bytes bytes;
+            uint32_t attempt;
         } order;
         struct {
             enum spread_phase phase;
             uint64_t version;
             struct spread_range range;
+            uint32_t attempt;     /* of the order that this answers */
+            uint32_t seq;         /* of the reports on that order */
             uint32_t done, known; /* daemons of the range */
             uint64_t done_digest; /* of their ids and incarnations */
             uint32_t lacking_count;
@@ -86,6 +89,7 @@
         struct {
             struct spread_range range;
             bool relay; /* pass on to the rest of the range */
+            bool sync;  /* in answer to stamps */
             const struct spread_target *items;
             size_t count;
         } targets;
@@ -175,7 +179,7 @@
     SPREAD_ACT_SEND,
     SPREAD_ACT_STAGE,    /* keep these bytes, not in force yet */
     SPREAD_ACT_ACTIVATE, /* put VERSION in force: all staged up to it */
-    SPREAD_ACT_NEED,     /* answer with SPREAD_EV_DIFFERENCE */
+    SPREAD_ACT_NEED,     /* answer with SPREAD_EV_DIFFERENCE, same TO */
     SPREAD_ACT_IN_FORCE, /* on the leader: all live daemons have staged it */
     SPREAD_ACT_TARGET,   /* a target changed, appeared, or is DOWN */
     SPREAD_ACT_REFUSED,  /* an announcement was not taken in */
--- a/src/member/spread_job.c
+++ b/src/member/spread_job.c
@@ -14,8 +14,10 @@
                    const struct spread_sum *);
 static void report_news(struct spread_core *, struct spread_job *);
 static void advance_self(struct spread_core *, struct spread_job *);
+static bool is_stale_report(const struct spread_child *,
+                            const struct spread_message *);
 static void take_report(struct spread_core *, struct spread_job *,
-                        struct daemon_id, const struct spread_message *);
+                        const struct spread_message *);
 static void refuse_term(struct spread_core *, struct daemon_id,
                         const struct spread_message *);
 static bool is_same_range(const struct spread_range *,
@@ -38,8 +40,8 @@
 }
 
 /*
- * Add a job, which takes a reference to BYTES; the oldest gives way above
- * the limit.  Owned by the core.
+ * Add a job, which takes a reference to BYTES; above the limit the oldest
+ * that was ordered by another gives way.  Owned by the core.
  */
 struct spread_job *
 spread_job_add(struct spread_core *core, enum spread_phase phase,
@@ -47,8 +49,12 @@
 {
     struct spread_job *job = g_new0(struct spread_job, 1);
 
-    if (core->jobs->len >= core->options.jobs_max) {
-        g_ptr_array_remove_index(core->jobs, 0);
+    for (guint i = 0;
+         core->jobs->len >= core->options.jobs_max && i < core->jobs->len;
+         i++) {
+        if (!((struct spread_job *)g_ptr_array_index(core->jobs, i))->leader) {
+            g_ptr_array_remove_index(core->jobs, i);
+        }
     }
     job->phase = phase;
     job->from = from;
@@ -143,8 +149,8 @@
     if (head.value == 0) {
         return;
     }
-    child->head = head;
     message.u.order.phase = job->phase;
+    message.u.order.attempt = child->attempts;
     message.u.order.range = child->range;
     bytes->from = job->from;
     bytes->to = job->version;
@@ -188,6 +194,8 @@
     struct spread_message message = spread_start(core, SPREAD_REPORT);
 
     message.u.report.phase = job->phase;
+    message.u.report.attempt = job->attempt;
+    message.u.report.seq = ++job->seq;
     message.u.report.version = job->version;
     message.u.report.range = job->range;
     message.u.report.done = sum->done;
@@ -274,6 +282,7 @@
             spread_in_range(&job->range, core->zone, core->options.self);
     }
     job->parent = from;
+    job->attempt = order->u.order.attempt;
     job->heard_us = core->now_us;
     return job;
 }
@@ -306,20 +315,32 @@
     report(core, job, &sum);
 }
 
+/* Whether a later report on CHILD's range is known: messages may cross. */
+static bool
+is_stale_report(const struct spread_child *child,
+                const struct spread_message *message)
+{
+    if (!child->reported || message->u.report.attempt != child->attempt) {
+        return child->reported && message->u.report.attempt < child->attempt;
+    }
+    return message->u.report.seq <= child->seq;
+}
+
 static void
 take_report(struct spread_core *core, struct spread_job *job,
-            struct daemon_id from, const struct spread_message *message)
+            const struct spread_message *message)
 {
     for (guint i = 0; i < job->children->len; i++) {
         struct spread_child *child =
             &g_array_index(job->children, struct spread_child, i);
 
         if (!is_same_range(&child->range, &message->u.report.range) ||
-            (child->head.value != from.value &&
-             message->u.report.done < child->done)) {
+            is_stale_report(child, message)) {
             continue;
         }
         child->reported = true;
+        child->attempt = message->u.report.attempt;
+        child->seq = message->u.report.seq;
         child->done = message->u.report.done;
         child->done_digest = message->u.report.done_digest;
         child->lacking_count = message->u.report.lacking_count;
@@ -333,7 +354,7 @@
 
 /* A child tells how far its range has come. */
 void
-spread_on_report(struct spread_core *core, struct daemon_id from,
+spread_on_report(struct spread_core *core,
                  const struct spread_message *message)
 {
     core->counters.reports++;
@@ -342,7 +363,7 @@
 
         if (job->phase == message->u.report.phase &&
             job->version == message->u.report.version) {
-            take_report(core, job, from, message);
+            take_report(core, job, message);
         }
     }
     spread_lead_check(core);
--- a/src/member/spread_priv.h
+++ b/src/member/spread_priv.h
@@ -7,6 +7,8 @@
 #define US_PER_MS         1000ULL
 #define RETRY_DOUBLINGS   3     /* an order is repeated ever more rarely */
 #define ATTEMPTS_PER_HEAD 2     /* then another daemon heads the range */
+#define REOPEN_MS         2000  /* between looks for daemons that joined */
+#define WINDOW            4     /* versions that the leader stages at once */
 #define JOB_LIFE_MS       15000 /* without a word from the parent */
 #define REPORT_MS         100   /* between reports of partial progress */
 #define EXPIRY_MS         250   /* between looks for expired targets */
@@ -18,11 +20,10 @@
 /* A part of a job, given to the daemon that heads its range. */
 struct spread_child {
     struct spread_range range;
-    struct daemon_id head;
     uint32_t attempts;
     uint64_t sent_us;
     bool reported;
-    bool direct; /* a range of one daemon */
+    uint32_t attempt, seq; /* of the last report */
     uint32_t done;
     uint64_t done_digest;
     uint32_t lacking_count;
@@ -37,6 +38,8 @@
     struct spread_range range; /* not used on the leader: all zones */
     bool leader;
     struct daemon_id parent;
+    uint32_t attempt; /* of the parent's last order */
+    uint32_t seq;     /* of the last report */
     bool with_self;
     bool closed; /* nothing is left to be done */
     uint64_t heard_us;
@@ -83,11 +86,14 @@
     uint64_t term;
     bool leading;
     uint64_t committed; /* on the leader */
+    uint64_t ordered;   /* and the last version that it had staged */
     uint64_t in_force;  /* the highest version known to be in force */
     uint64_t staged, active;
     GArray *boundaries; /* versions staged above ACTIVE, in order */
     bool peer_heard;
-    uint64_t fetch_us, sync_us, batch_us, refresh_us, expiry_us, look_us;
+    bool view_changed; /* since the leader last looked */
+    uint64_t reopen_us, need_us, fetch_us, sync_us, batch_us, refresh_us,
+        expiry_us, look_us;
     GPtrArray *jobs;     /* struct spread_job */
     GHashTable *targets; /* struct spread_held by address */
     GHashTable *holders; /* struct spread_holder by id */
@@ -137,8 +143,7 @@
 /* spread_job.c: orders down the tree, reports up */
 void spread_on_order(struct spread_core *, struct daemon_id,
                      const struct spread_message *);
-void spread_on_report(struct spread_core *, struct daemon_id,
-                      const struct spread_message *);
+void spread_on_report(struct spread_core *, const struct spread_message *);
 void spread_jobs_staged(struct spread_core *);
 void spread_jobs_tick(struct spread_core *);
 struct spread_job *spread_job_add(struct spread_core *, enum spread_phase,
@@ -156,6 +161,7 @@
 /* spread_lead.c: on the control leader */
 void spread_on_lead(struct spread_core *, uint64_t term, bool leading);
 void spread_on_committed(struct spread_core *, const struct spread_bytes *);
+void spread_lead_stage(struct spread_core *, const struct spread_bytes *);
 void spread_lead_check(struct spread_core *);
 
 /* spread_target.c: the targets */
--- a/src/member/spread_sum.c
+++ b/src/member/spread_sum.c
@@ -116,7 +116,7 @@
     else {
         count_known(core, &job->range, sum);
     }
-    for (guint i = 0; i < job->children->len; i++) {
+    for (guint i = 0; job->children != NULL && i < job->children->len; i++) {
         add_child(core, &g_array_index(job->children, struct spread_child, i),
                   sum);
     }
--- a/src/member/spread_sync.c
+++ b/src/member/spread_sync.c
@@ -191,6 +191,7 @@
     if (items->len == 0) {
         return;
     }
+    message.u.targets.sync = true;
     message.u.targets.count = items->len;
     message.u.targets.items = spread_keep(
         core, items->data, items->len * sizeof(struct spread_target));
--- a/src/member/spread_target.c
+++ b/src/member/spread_target.c
@@ -282,15 +282,25 @@
     return true;
 }
 
+/*
+ * Targets that changed, or that were found to be lacking here.  What came late
+ * is late for others as well: the next comparison follows soon.
+ */
 void
 spread_on_targets(struct spread_core *core,
                   const struct spread_message *message)
 {
+    bool taken = false;
+
     if (core->options.entry) {
         for (size_t i = 0; i < message->u.targets.count; i++) {
-            spread_take(core, &message->u.targets.items[i]);
+            taken |= spread_take(core, &message->u.targets.items[i]);
         }
     }
+    if (taken && message->u.targets.sync) {
+        core->sync_us = MIN(core->sync_us,
+                            core->now_us + core->options.batch_ms * US_PER_MS);
+    }
     if (message->u.targets.relay) {
         spread_relay_targets(core, &message->u.targets.range,
                              message->u.targets.items,
--- a/src/member/spread_version.c
+++ b/src/member/spread_version.c
@@ -71,18 +71,28 @@
     }
 }
 
-/* Ask FROM for what follows on the staged version, not too often. */
+/*
+ * Ask FROM for what follows on the staged version, not too often.  The leader
+ * has all versions at hand, whatever it has staged as an entry daemon.
+ */
 void
 spread_fetch(struct spread_core *core, struct daemon_id from)
 {
     struct spread_message message = spread_start(core, SPREAD_FETCH);
 
-    if (core->now_us < core->fetch_us || !core->options.entry ||
-        from.value == core->options.self.value) {
+    if (core->now_us < core->fetch_us || !core->options.entry) {
         return;
     }
     core->fetch_us = core->now_us + core->options.retry_ms * US_PER_MS;
     core->counters.fetched++;
+    if (core->leading) {
+        spread_on_fetch(core, core->options.self, core->staged);
+        return;
+    }
+    if (from.value == core->options.self.value) {
+        return;
+    }
+    message.staged = core->staged;
     spread_send(core, from, &message);
 }
 
--- a/src/peer/spread.pb-c.c
+++ b/src/peer/spread.pb-c.c
@@ -933,7 +933,7 @@
   (ProtobufCMessageInit) parsleyspur__spread_stamp__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__spread_order__field_descriptors[3] =
+static const ProtobufCFieldDescriptor parsleyspur__spread_order__field_descriptors[4] =
 {
   {
     "phase",
@@ -971,8 +971,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempt",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__SpreadOrder, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__spread_order__field_indices_by_name[] = {
+  3,   /* field[3] = attempt */
   2,   /* field[2] = bytes */
   0,   /* field[0] = phase */
   1,   /* field[1] = range */
@@ -980,7 +993,7 @@
 static const ProtobufCIntRange parsleyspur__spread_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor parsleyspur__spread_order__descriptor =
 {
@@ -990,14 +1003,14 @@
   "Parsleyspur__SpreadOrder",
   "parsleyspur",
   sizeof(Parsleyspur__SpreadOrder),
-  3,
+  4,
   parsleyspur__spread_order__field_descriptors,
   parsleyspur__spread_order__field_indices_by_name,
   1,  parsleyspur__spread_order__number_ranges,
   (ProtobufCMessageInit) parsleyspur__spread_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__spread_report__field_descriptors[7] =
+static const ProtobufCFieldDescriptor parsleyspur__spread_report__field_descriptors[9] =
 {
   {
     "phase",
@@ -1083,20 +1096,46 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "attempt",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__SpreadReport, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__SpreadReport, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__spread_report__field_indices_by_name[] = {
+  7,   /* field[7] = attempt */
   3,   /* field[3] = done */
   5,   /* field[5] = done_digest */
   4,   /* field[4] = known */
   6,   /* field[6] = lacking */
   0,   /* field[0] = phase */
   2,   /* field[2] = range */
+  8,   /* field[8] = seq */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange parsleyspur__spread_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor parsleyspur__spread_report__descriptor =
 {
@@ -1106,14 +1145,14 @@
   "Parsleyspur__SpreadReport",
   "parsleyspur",
   sizeof(Parsleyspur__SpreadReport),
-  7,
+  9,
   parsleyspur__spread_report__field_descriptors,
   parsleyspur__spread_report__field_indices_by_name,
   1,  parsleyspur__spread_report__number_ranges,
   (ProtobufCMessageInit) parsleyspur__spread_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__spread_targets__field_descriptors[3] =
+static const ProtobufCFieldDescriptor parsleyspur__spread_targets__field_descriptors[4] =
 {
   {
     "range",
@@ -1151,16 +1190,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sync",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__SpreadTargets, sync),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__spread_targets__field_indices_by_name[] = {
   2,   /* field[2] = items */
   0,   /* field[0] = range */
   1,   /* field[1] = relay */
+  3,   /* field[3] = sync */
 };
 static const ProtobufCIntRange parsleyspur__spread_targets__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor parsleyspur__spread_targets__descriptor =
 {
@@ -1170,7 +1222,7 @@
   "Parsleyspur__SpreadTargets",
   "parsleyspur",
   sizeof(Parsleyspur__SpreadTargets),
-  3,
+  4,
   parsleyspur__spread_targets__field_descriptors,
   parsleyspur__spread_targets__field_indices_by_name,
   1,  parsleyspur__spread_targets__number_ranges,
--- a/src/peer/spread.pb-c.h
+++ b/src/peer/spread.pb-c.h
@@ -98,10 +98,11 @@
   uint32_t phase;
   Parsleyspur__SpreadRange *range;
   Parsleyspur__SpreadBytes *bytes;
+  uint32_t attempt;
 };
 #define PARSLEYSPUR__SPREAD_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__spread_order__descriptor) \
-    , 0, NULL, NULL }
+    , 0, NULL, NULL, 0 }
 
 
 struct  Parsleyspur__SpreadReport
@@ -115,10 +116,18 @@
   uint64_t done_digest;
   size_t n_lacking;
   uint64_t *lacking;
+  /*
+   * of the order that this answers
+   */
+  uint32_t attempt;
+  /*
+   * of the reports on that order
+   */
+  uint32_t seq;
 };
 #define PARSLEYSPUR__SPREAD_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__spread_report__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, 0,NULL }
+    , 0, 0, NULL, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Parsleyspur__SpreadTargets
@@ -128,10 +137,14 @@
   protobuf_c_boolean relay;
   size_t n_items;
   Parsleyspur__SpreadTarget **items;
+  /*
+   * in answer to stamps
+   */
+  protobuf_c_boolean sync;
 };
 #define PARSLEYSPUR__SPREAD_TARGETS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__spread_targets__descriptor) \
-    , NULL, 0, 0,NULL }
+    , NULL, 0, 0,NULL, 0 }
 
 
 struct  Parsleyspur__SpreadRefresh
--- a/src/peer/spread_wire.c
+++ b/src/peer/spread_wire.c
@@ -101,6 +101,7 @@
     fill_range(&message->u.order.range, &range);
     fill_bytes(&message->u.order.bytes, &bytes);
     order.phase = message->u.order.phase;
+    order.attempt = message->u.order.attempt;
     order.range = &range;
     order.bytes = &bytes;
     wire->body_case = PARSLEYSPUR__SPREAD_MESSAGE__BODY_ORDER;
@@ -121,6 +122,8 @@
         lacking[i] = message->u.report.lacking[i].value;
     }
     report.phase = message->u.report.phase;
+    report.attempt = message->u.report.attempt;
+    report.seq = message->u.report.seq;
     report.version = message->u.report.version;
     report.range = &range;
     report.done = message->u.report.done;
@@ -149,6 +152,7 @@
     }
     targets.range = &range;
     targets.relay = message->u.targets.relay;
+    targets.sync = message->u.targets.sync;
     targets.n_items = message->u.targets.count;
     targets.items = list;
     wire->body_case = PARSLEYSPUR__SPREAD_MESSAGE__BODY_TARGETS;
@@ -291,6 +295,7 @@
 {
     out->kind = SPREAD_ORDER;
     out->u.order.phase = (enum spread_phase)wire->phase;
+    out->u.order.attempt = wire->attempt;
     return wire->phase < SPREAD_PHASE__MAX &&
            read_range(wire->range, &out->u.order.range) &&
            read_bytes(wire->bytes, &out->u.order.bytes);
@@ -306,6 +311,8 @@
         return false;
     }
     out->u.report.phase = (enum spread_phase)wire->phase;
+    out->u.report.attempt = wire->attempt;
+    out->u.report.seq = wire->seq;
     out->u.report.version = wire->version;
     out->u.report.done = wire->done;
     out->u.report.known = wire->known;
@@ -353,6 +360,7 @@
     items = g_new0(struct spread_target, wire->n_items);
     out->u.targets.items = items;
     out->u.targets.relay = wire->relay;
+    out->u.targets.sync = wire->sync;
     out->u.targets.count = wire->n_items;
     for (size_t i = 0; i < wire->n_items; i++) {
         if (!read_target(wire->items[i], &items[i])) {
