Step down on a later term; keep a target while its holder restarts

Cause: an order of a later term raised the term without ending the old lead, so that the daemon still took itself for a leader and asked nobody for what it lacked.

Change: the term is looked at before the message; taking a later record of a target in use lets its holder count as live for one life more.

--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -158,14 +158,11 @@
     spread_sync_tick(core);
 }
 
-/* The term and versions that every message carries. */
+/* The versions that every message carries. */
 static void
 take_header(struct spread_core *core, struct daemon_id from,
             const struct spread_message *message)
 {
-    if (message->term > core->term) {
-        spread_on_lead(core, message->term, false);
-    }
     if (from.value == core->options.self.value) {
         return;
     }
@@ -183,6 +180,9 @@
 on_message(struct spread_core *core, struct daemon_id from,
            const struct spread_message *message)
 {
+    if (message->term > core->term) {
+        spread_on_lead(core, message->term, false);
+    }
     switch (message->kind) {
     case SPREAD_ORDER:
         spread_on_order(core, from, message);
--- a/src/member/spread_job.c
+++ b/src/member/spread_job.c
@@ -302,7 +302,6 @@
         refuse_term(core, from, order);
         return;
     }
-    core->term = order->term;
     job = take_order(core, from, order);
     advance_self(core, job);
     if (job->phase == SPREAD_STAGE) {
--- a/src/member/spread_target.c
+++ b/src/member/spread_target.c
@@ -248,8 +248,10 @@
 }
 
 /*
- * Take TARGET in if it is later than what is known.  One that another daemon
- * let expire, although it was announced here of late, is announced again.
+ * Take TARGET in if it is later than what is known.  Its holder may have
+ * started again just now, unknown to the view: a target in use stays so for
+ * its life.  One that another daemon let expire, although it was announced
+ * here of late, is announced again.
  */
 bool
 spread_take(struct spread_core *core, const struct spread_target *target)
@@ -258,6 +260,7 @@
         g_hash_table_lookup(core->targets, &target->view.key.address);
     struct spread_stamp stamp = spread_stamp_of(target);
     struct spread_target before;
+    struct spread_holder *holder;
     struct spread_stamp known;
 
     if (held == NULL) {
@@ -273,6 +276,10 @@
         return false;
     }
     before = held->target;
+    holder = spread_holder(core, target->holder);
+    if (held->visible && !holder->live) {
+        holder->gone_us = core->now_us;
+    }
     store(core, held, target);
     if (target->view.state == TARGET_DOWN &&
         before.view.state != TARGET_DOWN && held->seen_us != 0 &&
