--- a/src/member/spread_target.c
+++ b/src/member/spread_target.c
@@ -248,8 +248,10 @@
 }
 
 /*
- * Take TARGET in if it is later than what is known.  One that another daemon
- * let expire, although it was announced here of late, is announced again.
+ * Take TARGET in if it is later than what is known.  Its holder may have
+ * started again just now, unknown to the view: a target in use stays so for
+ * its life.  One that another daemon let expire, although it was announced
+ * here of late, is announced again.
  */
 bool
 spread_take(struct spread_core *core, const struct spread_target *target)
@@ -258,6 +260,7 @@
         g_hash_table_lookup(core->targets, &target->view.key.address);
     struct spread_stamp stamp = spread_stamp_of(target);
     struct spread_target before;
+    struct spread_holder *holder;
     struct spread_stamp known;
 
     if (held == NULL) {
@@ -273,6 +276,10 @@
         return false;
     }
     before = held->target;
+    holder = spread_holder(core, target->holder);
+    if (held->visible && !holder->live) {
+        holder->gone_us = core->now_us;
+    }
     store(core, held, target);
     if (target->view.state == TARGET_DOWN &&
         before.view.state != TARGET_DOWN && held->seen_us != 0 &&
@@ -282,15 +289,25 @@
     return true;
 }
 
+/*
+ * Targets that changed, or that were found to be lacking here.  What came late
+ * is late for others as well: the next comparison follows soon.
+ */
 void
 spread_on_targets(struct spread_core *core,
                   const struct spread_message *message)
 {
+    bool taken = false;
+
     if (core->options.entry) {
         for (size_t i = 0; i < message->u.targets.count; i++) {
-            spread_take(core, &message->u.targets.items[i]);
+            taken |= spread_take(core, &message->u.targets.items[i]);
         }
     }
+    if (taken && message->u.targets.sync) {
+        core->sync_us = MIN(core->sync_us,
+                            core->now_us + core->options.batch_ms * US_PER_MS);
+    }
     if (message->u.targets.relay) {
         spread_relay_targets(core, &message->u.targets.range,
                              message->u.targets.items,
