--- a/tests/script/lib.sh
+++ b/tests/script/lib.sh
@@ -11,7 +11,7 @@
 set -u
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 STANDINS=$ROOT/build/tests/stand-ins
-BIN=$ROOT/build/parsleyspur
+BIN=${RUN_BIN:-$ROOT/build/parsleyspur}
 RUN_NAME=${RUN_NAME:-$(basename "$(cd "$(dirname "$0")" && pwd)")}
 RUN_DIR=$ROOT/build/log/runs/$RUN_NAME
 CONTROL_PORT=7000
@@ -19,8 +19,7 @@
 SEED=${SEED:-1}
 
 declare -A PID IP CONTROL ZONE_OF ROLES_OF INDEX
-declare -a DAEMONS TARGETS CALLERS
-declare -a ZONES
+DAEMONS=() TARGETS=() CALLERS=() ZONES=()
 
 # Take a block of addresses that no other run holds.
 block_take() {
@@ -54,6 +53,12 @@
     wait 2>/dev/null
 }
 
+# End the run: what follows would only fail too.
+give_up() { # REASON
+    echo "given up: $*"
+    exit 1
+}
+
 is_running() { # NAME
     kill -0 "${PID[$1]}" 2>/dev/null
 }
@@ -115,13 +120,15 @@
     [ -n "$seen" ] && [ "$seen" -ge "$3" ]
 }
 
-zone_index() { # ZONE
+# Make a zone known, and give its number in ZONE_NUMBER, from 1.
+zone_number() { # ZONE
     local i
     for i in "${!ZONES[@]}"; do
-        [ "${ZONES[$i]}" = "$1" ] && echo $((i + 1)) && return
+        ZONE_NUMBER=$((i + 1))
+        [ "${ZONES[$i]}" = "$1" ] && return
     done
     ZONES+=("$1")
-    echo ${#ZONES[@]}
+    ZONE_NUMBER=${#ZONES[@]}
 }
 
 # Name the daemons of the run: NAME:ZONE:ROLES each.
@@ -130,9 +137,8 @@
     declare -A count=()
     for spec in "$@"; do
         IFS=: read -r name zone roles <<<"$spec"
-        z=$(zone_index "$zone")
-        [ "$z" -le "${#ZONES[@]}" ] && [ "${ZONES[$((z - 1))]:-}" = "$zone" ] ||
-            ZONES+=("$zone")
+        zone_number "$zone"
+        z=$ZONE_NUMBER
         count[$zone]=$((${count[$zone]:-0} + 1))
         DAEMONS+=("$name")
         INDEX[$name]=${#DAEMONS[@]}
@@ -203,7 +209,7 @@
     done
     for name in "${DAEMONS[@]}"; do
         wait_for 10 port_open "${IP[$name]}" 8080 ||
-            echo "$name does not answer"
+            give_up "$name does not answer"
     done
 }
 
@@ -212,7 +218,8 @@
     local name=$1 pool=$2 zone=$3 z other announce=()
     shift 3
     if [ -z "${IP[$name]:-}" ]; then
-        z=$(zone_index "$zone")
+        zone_number "$zone"
+        z=$ZONE_NUMBER
         TARGETS+=("$name")
         IP[$name]=127.$B.$((10 + z)).${#TARGETS[@]}
     fi
@@ -400,17 +407,18 @@
     caller_start "$pool-calls" "$pool" "10.0.$k.2:80" --calls-per-s "$calls" \
         --parts-max 3 "$@"
     wait_for 15 at_least "$pool-feeds" echoed "$((feeds * 2))" ||
-        echo "$pool: feeds do not open"
+        give_up "$pool: feeds do not open"
     wait_for 15 at_least "$pool-uploads" echoed 50 ||
-        echo "$pool: uploads do not open"
+        give_up "$pool: uploads do not open"
     wait_for 15 at_least "$pool-calls" answered 20 ||
-        echo "$pool: calls get no answers"
+        give_up "$pool: calls get no answers"
 }
 
 # Cut a zone off from all others, daemons and targets; heal it again.
 zone_cut() { # ZONE
     local z a name
-    z=$(zone_index "$1")
+    zone_number "$1"
+    z=$ZONE_NUMBER
     for a in "${!ZONES[@]}"; do
         [ $((a + 1)) -eq "$z" ] && continue
         for pair in "$z $((a + 1))" "$((a + 1)) $z"; do
