--- /dev/null
+++ b/src/quorum/quorum_join.c
@@ -0,0 +1,160 @@
+/*
+ * Voters with an empty store.  Where no voter has ever had a term, the
+ * cluster is new and each has its vote.  Otherwise a store was lost: its
+ * voter gets the vote back by an entry of the log, see docs/design/quorum.md.
+ */
+#include <string.h>
+
+#include "quorum/quorum_state.h"
+
+static bool is_pending(const struct quorum_core *, const struct quorum_peer *);
+static bool no_term(const struct quorum_core *);
+static void note_admitted(struct quorum_core *, struct daemon_id, uint64_t);
+
+/* True if this store has never known a term. */
+static bool
+no_term(const struct quorum_core *core)
+{
+    return core->hard.term == 0 && quorum_log_last(&core->log) == 0;
+}
+
+/* Ask the others whether the cluster is new, until that is known. */
+void
+quorum_join_tick(struct quorum_core *core)
+{
+    struct quorum_message message;
+
+    if (core->hard.voter || !no_term(core) ||
+        core->now_us < core->hello_due_us) {
+        return;
+    }
+    core->hello_due_us = core->now_us + core->options.heartbeat_us;
+    message = quorum_message_of(core, QUORUM_MSG_HELLO);
+    message.round = core->hard.store;
+    for (size_t i = 0; i < core->peer_count; i++) {
+        quorum_send(core, core->peers[i].id, &message);
+    }
+}
+
+/* Say whether this store has ever known a term. */
+void
+quorum_on_hello(struct quorum_core *core, const struct quorum_message *message)
+{
+    struct quorum_message answer =
+        quorum_message_of(core, QUORUM_MSG_HELLO_ANSWER);
+
+    answer.round = message->round;
+    answer.granted = no_term(core);
+    quorum_send(core, message->from, &answer);
+}
+
+/*
+ * A voter votes from the start only if every other one has said, since this
+ * store was made, that it never knew a term: nobody can have had a vote or
+ * an acknowledgement of a store lost before.
+ */
+void
+quorum_on_hello_answer(struct quorum_core *core, struct quorum_peer *peer,
+                       const struct quorum_message *message)
+{
+    if (core->hard.voter || !no_term(core) ||
+        message->round != core->hard.store) {
+        return;
+    }
+    peer->no_term = message->granted;
+    for (size_t i = 0; i < core->peer_count; i++) {
+        if (!core->peers[i].no_term) {
+            return;
+        }
+    }
+    core->hard.voter = true;
+    core->hard_dirty = true;
+}
+
+/* True if an entry that admits PEER's store is in the log or applied. */
+static bool
+is_pending(const struct quorum_core *core, const struct quorum_peer *peer)
+{
+    uint64_t last = quorum_log_last(&core->log);
+
+    for (size_t i = 0; i < core->options.voter_count; i++) {
+        if (core->admitted[i].voter.value == peer->id.value &&
+            core->admitted[i].store == peer->store) {
+            return true;
+        }
+    }
+    for (uint64_t index = core->commit + 1; index <= last; index++) {
+        const struct quorum_entry *entry = quorum_log_at(&core->log, index);
+
+        if (entry->kind == QUORUM_ENTRY_ADMIT &&
+            entry->voter.value == peer->id.value &&
+            entry->store == peer->store) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Admit PEER, which has no vote, once it has stored all that was committed
+ * when it was first seen.  The entry is committed by the others alone, since
+ * PEER's copies do not count yet.
+ */
+void
+quorum_consider_admission(struct quorum_core *core, struct quorum_peer *peer)
+{
+    struct quorum_entry *entry;
+
+    if (core->role != QUORUM_LEADER || peer->voter || peer->store == 0 ||
+        !quorum_core_read_ok(core, core->now_us)) {
+        return;
+    }
+    if (peer->admit_at == 0) {
+        peer->admit_at = core->commit;
+    }
+    if (peer->match < peer->admit_at || is_pending(core, peer)) {
+        return;
+    }
+    entry = quorum_entry_new(quorum_log_last(&core->log) + 1, core->hard.term,
+                             QUORUM_ENTRY_ADMIT);
+    entry->voter = peer->id;
+    entry->store = peer->store;
+    quorum_leader_append(core, entry);
+    quorum_entry_unref(entry);
+    quorum_leader_feed_all(core, false);
+}
+
+static void
+note_admitted(struct quorum_core *core, struct daemon_id voter, uint64_t store)
+{
+    for (size_t i = 0; i < core->options.voter_count; i++) {
+        if (core->admitted[i].voter.value == voter.value) {
+            core->admitted[i].store = store;
+        }
+    }
+    if (voter.value == core->options.self.value && store == core->hard.store &&
+        !core->hard.voter) {
+        core->hard.voter = true;
+        core->hard_dirty = true;
+    }
+}
+
+/* ENTRY, which admits a voter, is committed. */
+void
+quorum_admitted_entry(struct quorum_core *core,
+                      const struct quorum_entry *entry)
+{
+    core->counters.admissions++;
+    note_admitted(core, entry->voter, entry->store);
+}
+
+/* SNAPSHOT, which is committed, tells who was admitted up to it. */
+void
+quorum_admitted_snapshot(struct quorum_core *core,
+                         const struct quorum_snapshot *snapshot)
+{
+    for (size_t i = 0; i < snapshot->admitted_count; i++) {
+        note_admitted(core, snapshot->admitted[i].voter,
+                      snapshot->admitted[i].store);
+    }
+}
