--- a/src/quorum/quorum.c
+++ b/src/quorum/quorum.c
@@ -190,11 +190,11 @@
         return;
     }
     first = entries->pdata[0];
-    if (first->index == index + 1) {
+    if (first->index > index) {
         return;
     }
     covered = index - first->index + 1;
-    if (first->index > index || covered > entries->len) {
+    if (covered > entries->len) {
         g_ptr_array_set_size(entries, 0);
         return;
     }
