Wire the daemon: the whole path from fabric to target and back

Cause: the cores, the edges and the stand-ins stood apart. Change: the daemon carries the events and actions of flow, call, pool, member, spread and table; administration API with hand-on to the control daemon; command line with route, pool, edit, status, settings; the demo.

--- /dev/null
+++ b/src/cmd/cmd_status.c
@@ -0,0 +1,159 @@
+/* `status` and `edit status`. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+
+#include "cmd/client.h"
+#include "cmd/cmd.h"
+#include "cmd/output.h"
+
+static const struct output_column daemon_columns[] = {
+    {"DAEMON", "name"}, {"ZONE", "zone"},   {"ADDRESS", "address"},
+    {"STATE", "state"}, {"ENTRY", "entry"}, {"CONTROL", "control"},
+};
+
+static const struct output_column target_columns[] = {
+    {"TARGET", "address"},          {"POOL", "pool"},   {"STATE", "state"},
+    {"INCARNATION", "incarnation"}, {"FLOWS", "flows"},
+};
+
+static const struct output_column head_columns[] = {
+    {"daemon", "daemon"}, {"zone", "zone"},     {"in force", "in_force"},
+    {"staged", "staged"}, {"leader", "leader"}, {"current", "current"},
+};
+
+static const struct output_column edit_columns[] = {
+    {"edit", "edit_id"},  {"accepted", "accepted"}, {"version", "version"},
+    {"reason", "reason"}, {"message", "message"},   {"force", "force"},
+};
+
+static enum cmd_status fetch(const char *command, const char *prefix, int argc,
+                             char **argv, bool *json, json_t **answer);
+
+/*
+ * Parse the flags and GET PREFIX, or PREFIX and an id if PREFIX ends in '/'.
+ * CMD_DONE with ANSWER set; CMD_DONE without it after the help.
+ */
+static enum cmd_status
+fetch(const char *command, const char *prefix, int argc, char **argv,
+      bool *json, json_t **answer)
+{
+    bool wants_id = g_str_has_suffix(prefix, "/");
+    struct arg_str *id =
+        arg_strn(NULL, NULL, "ID", wants_id ? 1 : 0, wants_id ? 1 : 0,
+                 wants_id ? "id of the edit" : NULL);
+    struct arg_str *server =
+        arg_str0(NULL, "server", "URL", "a daemon's administration address");
+    struct arg_str *token =
+        arg_str0(NULL, "token-file", "FILE", "file with the token");
+    struct arg_lit *as_json = arg_lit0(NULL, "json", "print JSON");
+    struct arg_lit *help = arg_lit0(NULL, "help", "print this");
+    struct arg_end *end = arg_end(4);
+    void *table[] = {id, server, token, as_json, help, end};
+    enum cmd_status status = CMD_DONE;
+    int faults = arg_parse(argc, argv, table);
+
+    *answer = NULL;
+    *json = as_json->count > 0;
+    if (help->count > 0) {
+        printf("usage: parsleyspur %s%s [--server URL] [--token-file FILE] "
+               "[--json]\n",
+               command, wants_id ? " ID" : "");
+    }
+    else if (faults > 0) {
+        arg_print_errors(stderr, end, "parsleyspur");
+        status = cmd_usage_error(command, "wrong arguments");
+    }
+    else {
+        struct client_options options = {
+            .server = server->count > 0 ? server->sval[0]
+                                        : getenv("PARSLEYSPUR_SERVER"),
+            .token_file = token->count > 0 ? token->sval[0]
+                                           : getenv("PARSLEYSPUR_TOKEN_FILE"),
+        };
+        char *path = g_strconcat(prefix, wants_id ? id->sval[0] : "", NULL);
+        struct client_answer got;
+        GError *error = NULL;
+
+        if (!client_request(&options, "GET", path, NULL, &got, &error)) {
+            fprintf(stderr, "parsleyspur: %s\n", error->message);
+            g_error_free(error);
+            status = CMD_FAILED;
+        }
+        else if (got.status != 200) {
+            const char *message =
+                json_string_value(json_object_get(got.body, "message"));
+
+            fprintf(stderr, "parsleyspur: refused: %s\n",
+                    message == NULL ? "no answer of this API" : message);
+            json_decref(got.body);
+            status = CMD_FAILED;
+        }
+        else {
+            *answer = got.body;
+        }
+        g_free(path);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return status;
+}
+
+/* `parsleyspur status` */
+enum cmd_status
+cmd_status(int argc, char **argv)
+{
+    bool json;
+    json_t *answer;
+    enum cmd_status status =
+        fetch("status", "/v1/status", argc, argv, &json, &answer);
+
+    if (answer == NULL) {
+        return status;
+    }
+    if (json) {
+        output_json(answer);
+    }
+    else {
+        output_row(answer, head_columns, G_N_ELEMENTS(head_columns));
+        putchar('\n');
+        output_rows(json_object_get(answer, "daemons"), daemon_columns,
+                    G_N_ELEMENTS(daemon_columns));
+        putchar('\n');
+        output_rows(json_object_get(answer, "targets"), target_columns,
+                    G_N_ELEMENTS(target_columns));
+    }
+    json_decref(answer);
+    return status;
+}
+
+/* `parsleyspur edit status ID` */
+enum cmd_status
+cmd_edit(int argc, char **argv)
+{
+    bool json;
+    json_t *answer;
+    enum cmd_status status;
+
+    if (argc > 1 && strcmp(argv[1], "--help") == 0) {
+        puts("usage: parsleyspur edit status ID");
+        return CMD_DONE;
+    }
+    if (argc < 2 || strcmp(argv[1], "status") != 0) {
+        return cmd_usage_error("edit", "give the word status and an id");
+    }
+    status =
+        fetch("edit status", "/v1/edits/", argc - 1, argv + 1, &json, &answer);
+    if (answer == NULL) {
+        return status;
+    }
+    if (json) {
+        output_json(answer);
+    }
+    else {
+        output_row(answer, edit_columns, G_N_ELEMENTS(edit_columns));
+    }
+    json_decref(answer);
+    return status;
+}
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -21,7 +21,7 @@
     PEER_SPREAD,
     PEER_QUORUM,
     PEER_TABLE,
-    PEER_EDIT,
+    PEER_CONTROL,
     PEER_FLOW,
     PEER_CALL,
     PEER_HANDON_FLOW,
--- a/src/peer/table.pb-c.c
+++ b/src/peer/table.pb-c.c
@@ -772,7 +772,7 @@
   (ProtobufCMessageInit) parsleyspur__table_edit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__table_epoch__field_descriptors[5] =
+static const ProtobufCFieldDescriptor parsleyspur__table_epoch__field_descriptors[6] =
 {
   {
     "pool",
@@ -834,10 +834,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnations",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Parsleyspur__TableEpoch, n_incarnations),
+    offsetof(Parsleyspur__TableEpoch, incarnations),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__table_epoch__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
   4,   /* field[4] = group */
+  5,   /* field[5] = incarnations */
   3,   /* field[3] = lead */
   0,   /* field[0] = pool */
   2,   /* field[2] = previous */
@@ -845,7 +858,7 @@
 static const ProtobufCIntRange parsleyspur__table_epoch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor parsleyspur__table_epoch__descriptor =
 {
@@ -855,7 +868,7 @@
   "Parsleyspur__TableEpoch",
   "parsleyspur",
   sizeof(Parsleyspur__TableEpoch),
-  5,
+  6,
   parsleyspur__table_epoch__field_descriptors,
   parsleyspur__table_epoch__field_indices_by_name,
   1,  parsleyspur__table_epoch__number_ranges,
--- a/src/peer/table.pb-c.h
+++ b/src/peer/table.pb-c.h
@@ -111,10 +111,15 @@
   uint64_t lead;
   size_t n_group;
   uint64_t *group;
+  /*
+   * as many as group
+   */
+  size_t n_incarnations;
+  uint64_t *incarnations;
 };
 #define PARSLEYSPUR__TABLE_EPOCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__table_epoch__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/peer/table_wire.c
+++ b/src/peer/table_wire.c
@@ -40,12 +40,14 @@
     pb->lead = epoch->lead.value;
     pb->n_group = epoch->group_count;
     pb->group = (uint64_t *)&epoch->group[0].value;
+    pb->n_incarnations = epoch->group_count;
+    pb->incarnations = (uint64_t *)(uintptr_t)epoch->incarnations;
 }
 
 static bool
 epoch_from_pb(const Parsleyspur__TableEpoch *pb, struct table_epoch *epoch)
 {
-    if (pb->n_group > TABLE_GROUP_MAX) {
+    if (pb->n_group > TABLE_GROUP_MAX || pb->n_incarnations != pb->n_group) {
         return false;
     }
     memset(epoch, 0, sizeof(*epoch));
@@ -56,6 +58,7 @@
     epoch->group_count = pb->n_group;
     for (size_t i = 0; i < pb->n_group; i++) {
         epoch->group[i].value = pb->group[i];
+        epoch->incarnations[i] = pb->incarnations[i];
     }
     return true;
 }
--- a/src/table/table.h
+++ b/src/table/table.h
@@ -81,6 +81,7 @@
     struct daemon_id lead;
     size_t group_count;
     struct daemon_id group[TABLE_GROUP_MAX];
+    uint64_t incarnations[TABLE_GROUP_MAX]; /* of the group's processes */
 };
 
 enum table_command_kind {
--- a/tests/unit/test_table.c
+++ b/tests/unit/test_table.c
@@ -113,6 +113,7 @@
     epoch->group_count = 2;
     epoch->group[0].value = lead;
     epoch->group[1].value = lead + 1;
+    epoch->incarnations[1] = 42;
     return apply(core, &command);
 }
 
@@ -275,6 +276,7 @@
     assert_true(table_core_epoch(core, view_pool_id("fieldline"), &epoch));
     assert_int_equal(epoch.lead.value, 9);
     assert_int_equal(epoch.group[1].value, 10);
+    assert_int_equal(epoch.incarnations[1], 42);
     assert_int_equal(table_core_position(core).version, 1);
     /* A pool made anew never gets an epoch of its former life again. */
     remove_row(core, "e2", 1, TABLE_POOL, "fieldline");
