--- a/src/call/call.h
+++ b/src/call/call.h
@@ -19,13 +19,14 @@
     uint64_t retry_window_us; /* 5 s: a retry may come so late */
     uint64_t lease_us; /* 10 s: of an epoch confirmed by its authority */
     uint64_t lease_extended_us; /* 600 s: with records at the whole group */
-    uint64_t retry_after_us;    /* 1 s: an idempotent call is sent again */
-    uint32_t retry_percent;     /* 10: retries as a share of calls */
-    uint32_t attempts_max;      /* 3: of one call */
-    uint32_t queue_limit;       /* 1000: calls that wait, for each pool */
-    uint32_t bytes_max;   /* 64 MiB: payload held, requests and answers */
-    uint32_t records_max; /* 65536: ids recorded, for each pool */
-    uint32_t calls_max;   /* 65536: calls known, kept ones too, each pool */
+    uint64_t retry_after_us; /* 1 s: a slow idempotent call is sent again, or
+                                later if answers take longer */
+    uint32_t retry_percent;  /* 10: retries as a share of calls */
+    uint32_t attempts_max;   /* 3: of one call */
+    uint32_t queue_limit;    /* 1000: calls that wait, for each pool */
+    uint32_t bytes_max;      /* 64 MiB: payload held, requests and answers */
+    uint32_t records_max;    /* 65536: ids recorded, for each pool */
+    uint32_t calls_max;      /* 65536: calls known, kept ones too, each pool */
     uint32_t seed;
 };
 
--- a/src/call/call_answer.c
+++ b/src/call/call_answer.c
@@ -114,6 +114,22 @@
     call_hand_on(step, pool, further, former);
 }
 
+/* Smooth the latency of answers and its deviation, as TCP does. */
+static void
+learn_latency(struct call_pool *pool, double latency_us)
+{
+    double error = latency_us - pool->latency_us;
+
+    if (pool->latency_us == 0) {
+        pool->latency_us = latency_us;
+        pool->latency_deviation_us = latency_us / 2;
+        return;
+    }
+    pool->latency_us += error / 8;
+    pool->latency_deviation_us +=
+        ((error < 0 ? -error : error) - pool->latency_deviation_us) / 4;
+}
+
 /* Take a part of an answer; with the last one the caller gets them all. */
 static void
 answered(struct call_step *step, struct call_pool *pool, struct call *call,
@@ -145,6 +161,7 @@
     }
     call_attempt_close(pool, attempt);
     call->answered_by = option->attempt - 1;
+    learn_latency(pool, (double)(step->now_us - attempt->sent_us));
     step->core->counters.answered++;
     call_attempts_end(step, pool, call, true, false);
     call_move(pool, call, CALL_ANSWERED);
--- a/src/call/call_change.c
+++ b/src/call/call_change.c
@@ -79,12 +79,13 @@
 
 /*
  * EPOCH was given to TO: it gets the calls that are not sent yet, and may
- * run those whose record was held, since nobody else can have begun them.
- * Sent ones are finished here.
+  * run those whose record was held, since nobody else can have begun them;
+ * NEXT says that EPOCH follows at once, so that nobody else can have begun
+ * any of them.  Sent ones are finished here.
  */
 void
 call_superseded_release(struct call_step *step, struct call_pool *pool,
-                        uint64_t epoch, struct daemon_id to)
+                        uint64_t epoch, struct daemon_id to, bool next)
 {
     GList *link = pool->open.head;
     bool passes = to.value != step->core->options.self.value &&
@@ -102,7 +103,7 @@
             call_unknown(step, pool, call, CALL_REASON_DEADLINE);
         }
         else if (passes && is_unsent(call)) {
-            call_release(step, pool, call, to, call->held ? epoch : 0);
+            call_release(step, pool, call, to, call->held || next ? epoch : 0);
         }
     }
 }
--- a/src/call/call_core.c
+++ b/src/call/call_core.c
@@ -375,7 +375,7 @@
 watch_stall(struct call_core *core, uint64_t now_us)
 {
     if (core->last_step_us != 0 &&
-        now_us >= core->last_step_us + core->options.retry_window_us / 2) {
+        now_us >= core->last_step_us + core->options.retry_window_us / 4) {
         core->stalled_until_us = now_us + STALL_DRAIN_US;
     }
     core->last_step_us = now_us;
--- a/src/call/call_epoch.c
+++ b/src/call/call_epoch.c
@@ -105,6 +105,7 @@
                 struct daemon_id by)
 {
     struct call_lead *lead = &pool->lead;
+    bool next = epoch == lead->epoch.number + 1;
 
     if (lead->epoch.number == 0 || epoch <= lead->epoch.number) {
         return;
@@ -115,8 +116,9 @@
     lead->collected = false;
     lead->epoch.number = 0;
     lead->since_us = step->now_us;
+    lead->superseded_us = step->now_us;
     lead->not_before_us = step->now_us + BACK_OFF_US;
-    call_superseded_release(step, pool, epoch, by);
+    call_superseded_release(step, pool, epoch, by, next);
 }
 
 /* EPOCH is this process's: collect what was recorded before it. */
--- a/src/call/call_internal.h
+++ b/src/call/call_internal.h
@@ -105,6 +105,7 @@
     enum call_phase phase;
     bool renewing; /* active, while a new group is being set up */
     uint64_t phase_us;
+    uint64_t superseded_us; /* when an epoch was last given up */
     uint64_t since_us;      /* when this daemon began to seek the lead */
     uint64_t not_before_us; /* of the next try */
     unsigned asks;          /* in this try */
@@ -136,8 +137,10 @@
     GSequence *queue;
     GHashTable *tags; /* caller to the tag of its next call */
     uint64_t virtual_time;
-    uint32_t pending; /* calls that wait for their record */
-    uint64_t tokens;  /* hundredths of a retry */
+    uint32_t pending;  /* calls that wait for their record */
+    uint64_t tokens;   /* hundredths of a retry */
+    double latency_us; /* smoothed, of answers */
+    double latency_deviation_us;
     struct daemon_id view_lead;
     struct daemon_id former;
     struct call_epoch current; /* highest epoch heard of */
@@ -297,7 +300,7 @@
                        struct daemon_id lead);
 void call_lead_tick(struct call_step *, struct call_pool *);
 void call_superseded_release(struct call_step *, struct call_pool *,
-                             uint64_t epoch, struct daemon_id to);
+                             uint64_t epoch, struct daemon_id to, bool next);
 
 /* call_collect.c */
 void call_collect_begin(struct call_step *, struct call_pool *);
--- a/src/call/call_member.c
+++ b/src/call/call_member.c
@@ -65,6 +65,7 @@
     }
     ack->epoch = log->epoch;
     ack->offset = call_log_end(log);
+    ack->end = message->offset + message->key_count;
 }
 
 /* Promise the new lead's epoch and give it the records of the last one. */
--- a/src/call/call_message.h
+++ b/src/call/call_message.h
@@ -48,9 +48,9 @@
     uint64_t incarnation; /* the member's: as listed, or its own in an ack */
     uint64_t first;       /* entries before it have expired */
     uint64_t offset;      /* of keys[0]; in RECORD_ACK the end of the log */
-    uint64_t end;         /* of the sender's log */
-    uint64_t install;     /* entries taken over from earlier epochs */
-    bool held;            /* COLLECT_ACK: the log is of PREVIOUS */
+    uint64_t end;     /* of the sender's log; in RECORD_ACK of the message */
+    uint64_t install; /* entries taken over from earlier epochs */
+    bool held;        /* COLLECT_ACK: the log is of PREVIOUS */
     size_t key_count;
     struct call_key keys[CALL_RECORDS_PER_MESSAGE];
 };
--- a/src/call/call_packet.c
+++ b/src/call/call_packet.c
@@ -1,6 +1,8 @@
 /* The way of a packet: decided here, or handed on. */
 #include "call/call_internal.h"
 
+#define RELEASE_US 1000000 /* for calls passed on to a new lead to arrive */
+
 static void former_unknown(struct call_step *, struct call_pool *,
                            const struct call_packet *);
 static bool serves(const struct call_core *, const struct call_pool *,
@@ -8,14 +10,18 @@
 static void packet_here(struct call_step *, struct call_pool *,
                         const struct call_packet *);
 
-/* A packet for a lead of an earlier epoch, which does not know its call. */
+/*
+ * A packet for a lead of an earlier epoch, which does not know its call.  It
+ * is silent while the call may be on its way to the one that asks.
+ */
 static void
 former_unknown(struct call_step *step, struct call_pool *pool,
                const struct call_packet *packet)
 {
     struct call_datagram *datagram;
 
-    if (packet->target != 0 || packet->option.part != 0) {
+    if (packet->target != 0 || packet->option.part != 0 ||
+        step->now_us < pool->lead.superseded_us + RELEASE_US) {
         call_drop(step, pool, CALL_REASON_UNKNOWN_ID);
         return;
     }
--- a/src/call/call_record.c
+++ b/src/call/call_record.c
@@ -158,7 +158,10 @@
     }
 }
 
-/* A member has told how far it holds the log, or that it may hold no more. */
+/*
+ * A member has told how far it holds the log, or that it may hold no more.
+  * One that lacks what was sent before its last message is sent it again.
+ */
 void
 call_record_ack(struct call_step *step, struct call_pool *pool,
                 struct daemon_id from, const struct call_message *message)
@@ -179,9 +182,12 @@
             return;
         }
         if (message->epoch == lead->epoch.number) {
+            bool gap =
+                message->offset < message->end && message->end > peer->next;
+
             peer->answered = true;
             peer->next = MAX(peer->next, message->offset);
-            peer->sent = MAX(peer->sent, peer->next);
+            peer->sent = gap ? peer->next : MAX(peer->sent, peer->next);
         }
     }
     if (message->epoch > lead->epoch.number) {
--- a/src/call/call_request.c
+++ b/src/call/call_request.c
@@ -151,6 +151,7 @@
         return;
     }
     call->caller_port = packet->caller_port;
+    call->released = MAX(call->released, packet->released);
     step->core->counters.duplicates += call->state != CALL_GATHERING;
     switch (call->state) {
     case CALL_GATHERING:
@@ -186,7 +187,7 @@
     call->service_port = packet->service_port;
     call->idempotent = packet->option.idempotent;
     call->parts = packet->option.parts;
-    call->released = packet->released;
+    call->released = MAX(call->released, packet->released);
     call->deadline_us =
         step->now_us + (left == 0 ? longest : MIN(left, longest));
 }
--- a/src/call/call_send.c
+++ b/src/call/call_send.c
@@ -4,6 +4,7 @@
 #define MICROSECONDS_PER_MS 1000
 #define RETRY_COST          100 /* hundredths of a retry */
 
+#define DEVIATIONS   4       /* of the latency, before a call counts as slow */
 #define NO_TARGET_US 1000000 /* calls wait so long for a first target */
 #define NO_EPOCH_US  2000000 /* calls wait so long for an epoch */
 
@@ -193,10 +194,12 @@
     const struct call_attempt *last = call->attempts[call->attempt_count - 1];
     uint64_t wait = MIN(step->core->options.retry_after_us,
                         (call->deadline_us - call->arrived_us) / 3);
+    uint64_t usual =
+        (uint64_t)(pool->latency_us + DEVIATIONS * pool->latency_deviation_us);
     bool gone = call_slot_find(pool, last->target) == NULL;
     struct call_slot *slot;
 
-    if (!gone && step->now_us < last->sent_us + wait) {
+    if (!gone && step->now_us < last->sent_us + MAX(wait, usual)) {
         return;
     }
     slot = call_slot_choose(step, pool, call);
