Take over a released call after its recorder was asked

Cause: a call that waited here and was found in the former lead's records kept its count of parts, so that the released copy was never whole. Change: the count is cleared with the parts.

--- a/src/call/call_install.c
+++ b/src/call/call_install.c
@@ -37,9 +37,9 @@
 
     call->former = pool->former;
     call->asked = whole;
+    call->parts_held = 0;
     if (!whole) {
         call_request_clear(step->core, call);
-        call->parts_held = 0;
         call_move(pool, call, CALL_FORMER);
         return;
     }
--- a/tests/unit/test_call.c
+++ b/tests/unit/test_call.c
@@ -474,7 +474,7 @@
     struct call_datagram sent;
 
     bench->authority = false;
-    bench->now += 11 * 1000 * MS; /* the lease has run out */
+    bench->now += 11000 * MS; /* the lease has run out */
     tick(bench, 200);
     request(bench, 5, IDEMPOTENT);
     sent = only(bench, CALL_ACT_SEND).u.datagram;
@@ -507,7 +507,7 @@
     }
     request(bench, 20, ONCE);
     assert_refused(bench, CALL_OUTCOME_UNKNOWN, CALL_REASON_RECORDS_FULL);
-    bench->now += 36 * 1000 * MS;
+    bench->now += 36000 * MS;
     tick(bench, 200);
     request(bench, 21, ONCE);
     assert_int_equal(count(bench, CALL_ACT_SEND), 1);
