Carry the tables by the replicated log

Cause: the control role applied edits by itself and kept nothing. Change: a voter over the quorum core; a store task on a thread of its own writes the log, so that a slow disk holds up no packet; edits and call epochs are proposed, applied and answered; a new leader gives its last version to the spread core.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -1,242 +1,363 @@
-/* The control role over one voter that keeps nothing: the thin path. */
-#include "daemon/control.h"
+/*
+ * The control role: a voter of the replicated log whose entries are the
+ * commands of the tables.  The leader takes edits and call epochs, and gives
+ * each new version to the spread core.
+ */
+#include "daemon/control_private.h"
 
-#include <string.h>
+#include "base/log.h"
+#include "peer/quorum_wire.h"
 
-#include "daemon/api_handlers.h"
-#include "peer/table_wire.h"
+#define LOG_FOLDER "log" /* within the data folder */
 
-struct control {
-    struct table_core *tables;
-    uint64_t index;
-    struct table_position spread; /* as of the last version */
-};
+static void act(struct daemon *, const struct quorum_action *);
+static void send_message(struct daemon *, const struct quorum_action *);
+static void install(struct daemon *, const struct quorum_snapshot *);
+static void give_snapshot(struct daemon *, uint64_t index);
+static void on_role(struct daemon *, const struct quorum_action *);
+static void begin_leading(struct daemon *);
+static void end_leading(struct daemon *);
+static void on_stored(void *, uint64_t token, bool ok);
+static void on_space(void *, bool low);
+static bool open_store(struct daemon *, struct quorum_stored *, GError **);
+static void log_report(const struct storage_report *);
 
-static void commit(struct daemon *, const GByteArray *, struct table_result *);
+static void
+on_stored(void *user, uint64_t token, bool ok)
+{
+    struct quorum_event event = {.kind = QUORUM_EV_STORED};
 
-bool
-control_start(struct daemon *daemon, GError **error)
+    event.u.stored.token = token;
+    event.u.stored.ok = ok;
+    control_step(user, &event);
+}
+
+static void
+on_space(void *user, bool low)
 {
-    struct table_core_options options = {0};
-    struct spread_event event = {.kind = SPREAD_EV_LEAD};
+    struct quorum_event event = {.kind = QUORUM_EV_SPACE};
 
-    (void)error;
-    if (!daemon->settings->control) {
-        return true;
+    log_state(low ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_MESSAGE,
+              low ? "the data folder is nearly full: edits are refused; "
+                    "free space"
+                  : "the data folder has space again",
+              NULL);
+    event.u.space_low = low;
+    control_step(user, &event);
+}
+
+static void
+log_report(const struct storage_report *report)
+{
+    char bytes[32];
+
+    if (report->torn_bytes > 0) {
+        g_snprintf(bytes, sizeof(bytes), "%" G_GUINT64_FORMAT,
+                   report->torn_bytes);
+        log_state(G_LOG_LEVEL_WARNING,
+                  "cut a torn record off the log; it was never answered for",
+                  "file", report->torn_file, "bytes", bytes, NULL);
     }
-    daemon->control = g_new0(struct control, 1);
-    daemon->control->tables = table_core_new(&options);
-    event.u.lead.term = 1;
-    event.u.lead.leading = true;
-    daemon_spread_event(daemon, &event);
-    return true;
 }
 
-void
-control_tick(struct daemon *daemon, uint64_t now_us)
+/* Open the log's files; STORED is filled with what they hold. */
+static bool
+open_store(struct daemon *daemon, struct quorum_stored *stored, GError **error)
 {
-    (void)daemon;
-    (void)now_us;
+    struct store_handler handler = {on_stored, on_space, daemon};
+    struct storage_report report;
+    char *folder =
+        g_build_filename(daemon->settings->data_dir, LOG_FOLDER, NULL);
+
+    daemon->control->store =
+        store_new(&daemon->loop, folder, handler, stored, &report, error);
+    g_free(folder);
+    if (daemon->control->store == NULL) {
+        return false;
+    }
+    log_report(&report);
+    return true;
 }
 
-void
-control_message(struct daemon *daemon, struct daemon_id from,
-                const uint8_t *data, size_t len)
+/* Start the role, if the settings give it to this daemon. */
+bool
+control_start(struct daemon *daemon, GError **error)
 {
-    (void)daemon;
-    (void)from;
-    (void)data;
-    (void)len;
+    const struct settings *settings = daemon->settings;
+    struct table_core_options tables = {0};
+    struct quorum_options options = {.self = daemon->self,
+                                     .voters = {daemon->self},
+                                     .voter_count = 1,
+                                     .seed =
+                                         daemon->seed ^ daemon->incarnation};
+    struct quorum_stored stored;
+    struct control *control;
+
+    if (!settings->control) {
+        return true;
+    }
+    for (size_t i = 0; i < settings->voter_count; i++) {
+        options.voters[i] = view_daemon_id(settings->voters[i].name);
+        options.voter_count = settings->voter_count;
+    }
+    control = g_new0(struct control, 1);
+    daemon->control = control;
+    control->tables = table_core_new(&tables);
+    control->waiting =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    quorum_stored_init(&stored);
+    if (!open_store(daemon, &stored, error)) {
+        return false;
+    }
+    control->quorum = quorum_core_new(&options, &stored, daemon_now_us());
+    quorum_stored_clear(&stored);
+    return true;
 }
 
+/* Let the log's task finish and begin to close its handle. */
 void
 control_close(struct daemon *daemon)
 {
-    (void)daemon;
+    if (daemon->control != NULL && daemon->control->store != NULL) {
+        store_close(daemon->control->store);
+    }
 }
 
 void
 control_stop(struct daemon *daemon)
 {
-    if (daemon->control != NULL) {
-        table_core_free(daemon->control->tables);
-        g_free(daemon->control);
+    struct control *control = daemon->control;
+
+    if (control == NULL) {
+        return;
     }
+    store_free(control->store);
+    quorum_core_free(control->quorum);
+    table_core_free(control->tables);
+    g_hash_table_destroy(control->waiting);
+    g_free(control);
+    daemon->control = NULL;
 }
 
-struct daemon_id
-control_leader(const struct daemon *daemon)
+void
+control_tick(struct daemon *daemon, uint64_t now_us)
 {
+    struct quorum_event event = {.kind = QUORUM_EV_TICK};
+
+    (void)now_us;
     if (daemon->control != NULL) {
-        return daemon->self;
+        control_step(daemon, &event);
     }
-    return (struct daemon_id){0};
 }
 
-bool
-control_is_current(const struct daemon *daemon)
+/* Take in a message of another voter. */
+void
+control_message(struct daemon *daemon, struct daemon_id from,
+                const uint8_t *data, size_t len)
 {
-    return daemon->control != NULL;
+    struct quorum_event event = {.kind = QUORUM_EV_MESSAGE};
+    struct quorum_message message;
+
+    if (daemon->control == NULL || !quorum_wire_unpack(data, len, &message)) {
+        counter_add(&daemon->counters, COUNTER_PEER_BAD_FRAMES, 1);
+        return;
+    }
+    if (message.from.value == from.value) {
+        event.u.message = &message;
+        control_step(daemon, &event);
+    }
+    quorum_message_clear(&message);
 }
 
-const struct table_core *
-control_tables(const struct daemon *daemon)
+/*
+ * Step the core and carry out its actions.  A snapshot is given last, since
+ * it is a further step.
+ */
+void
+control_step(struct daemon *daemon, const struct quorum_event *event)
 {
-    return daemon->control != NULL ? daemon->control->tables
-                                   : daemon->in_force;
+    struct quorum_actions actions = {0};
+
+    quorum_core_step(daemon->control->quorum, daemon_now_us(), event,
+                     &actions);
+    for (size_t i = 0; i < actions.count; i++) {
+        act(daemon, &actions.items[i]);
+    }
+    for (size_t i = 0; i < actions.count; i++) {
+        if (actions.items[i].kind == QUORUM_ACT_TAKE_SNAPSHOT) {
+            give_snapshot(daemon, actions.items[i].u.take_snapshot);
+        }
+    }
+    quorum_actions_clear(&actions);
+    g_free(actions.items);
+    if (!daemon->control->leading &&
+        quorum_core_role(daemon->control->quorum) == QUORUM_LEADER &&
+        quorum_core_read_ok(daemon->control->quorum, daemon_now_us())) {
+        begin_leading(daemon);
+    }
 }
 
-/* Apply a command, and give a new version to the entry daemons. */
 static void
-commit(struct daemon *daemon, const GByteArray *command,
-       struct table_result *result)
+act(struct daemon *daemon, const struct quorum_action *action)
 {
-    struct control *control = daemon->control;
-    struct table_position before = control->spread;
-    struct spread_event event = {.kind = SPREAD_EV_COMMITTED};
-    GByteArray *bytes = g_byte_array_new();
-    struct table_position after;
-
-    table_core_apply(control->tables, ++control->index, command->data,
-                     command->len, result);
-    after = table_core_position(control->tables);
-    if (after.version > before.version &&
-        table_core_difference(control->tables, before, after.version, bytes)) {
-        event.u.committed.from = before.version;
-        event.u.committed.to = after.version;
-        event.u.committed.data = bytes->data;
-        event.u.committed.len = bytes->len;
-        control->spread = after;
-        daemon_spread_event(daemon, &event);
+    switch (action->kind) {
+    case QUORUM_ACT_STORE:
+        store_submit(daemon->control->store, action->u.store.token,
+                     action->u.store.records, action->u.store.count);
+        break;
+    case QUORUM_ACT_SEND:
+        send_message(daemon, action);
+        break;
+    case QUORUM_ACT_APPLY:
+        control_apply(daemon, action->u.apply);
+        break;
+    case QUORUM_ACT_INSTALL_SNAPSHOT:
+        install(daemon, action->u.install);
+        break;
+    case QUORUM_ACT_ROLE:
+        on_role(daemon, action);
+        break;
+    case QUORUM_ACT_REFUSE:
+        control_refused(daemon, action->u.refuse.reason,
+                        action->u.refuse.request);
+        break;
+    case QUORUM_ACT_TAKE_SNAPSHOT:
+    case QUORUM_ACT__MAX:
+        break;
     }
-    g_byte_array_unref(bytes);
 }
 
-void
-control_edit(struct daemon *daemon, const struct table_edit *edit,
-             const struct api_caller *caller)
+static void
+send_message(struct daemon *daemon, const struct quorum_action *action)
 {
-    struct table_command command = {.kind = TABLE_COMMAND_EDIT};
-    struct control_outcome outcome = {.available = true};
     GByteArray *bytes = g_byte_array_new();
 
-    command.u.edit = *edit;
-    table_wire_pack_command(&command, bytes);
-    commit(daemon, bytes, &outcome.result);
+    quorum_wire_pack(&action->u.send.message, bytes);
+    mesh_send(daemon->mesh, action->u.send.to, PEER_QUORUM, bytes->data,
+              bytes->len);
     g_byte_array_unref(bytes);
-    daemon_api_edit_done(daemon, caller, edit->id, &outcome);
 }
 
-/* Pass a wish for a call epoch on towards the leader. */
-void
-control_want_epoch(struct daemon *daemon, const struct call_want *want)
+/* Replace the tables by a snapshot of the log. */
+static void
+install(struct daemon *daemon, const struct quorum_snapshot *snapshot)
 {
-    struct control_message message = {.kind = CONTROL_EPOCH_WANT};
+    struct control *control = daemon->control;
+    struct table_core_options options = {0};
+    struct table_core *fresh = table_core_new(&options);
+    gsize len;
+    const uint8_t *data = g_bytes_get_data(snapshot->data, &len);
 
-    message.u.epoch_want.want = *want;
-    message.u.epoch_want.origin = daemon->self;
-    control_epoch_request(daemon, &message);
+    if (table_core_merge(fresh, data, len) == TABLE_DAMAGED) {
+        log_state(G_LOG_LEVEL_WARNING, "a snapshot does not decode", NULL);
+        table_core_free(fresh);
+        return;
+    }
+    table_core_free(control->tables);
+    control->tables = fresh;
+    control->spread.version = table_core_position(fresh).version;
+    control->spread.epoch = 0;
 }
 
-/* Tell the daemon that asked the pool's epoch as it is now. */
 static void
-tell_epoch(struct daemon *daemon, const struct control_message *asked)
-{
-    const struct call_want *want = &asked->u.epoch_want.want;
-    struct control_message message = {.kind = CONTROL_EPOCH_TELL};
-    struct call_epoch *epoch = &message.u.epoch_tell.epoch;
-    struct call_event event = {.kind = CALL_EV_EPOCH};
-    struct table_epoch found;
-    GByteArray *bytes;
-
-    table_core_epoch(control_tables(daemon), want->pool, &found);
-    epoch->pool = want->pool;
-    epoch->number = found.epoch;
-    epoch->group_count = (uint32_t)MIN(found.group_count, CALL_GROUP_MAX);
-    for (uint32_t i = 0; i < epoch->group_count; i++) {
-        epoch->group[i].daemon = found.group[i];
-        epoch->group[i].incarnation = found.incarnations[i];
-    }
-    message.u.epoch_tell.asked_us = want->asked_us;
-    if (asked->u.epoch_want.origin.value == daemon->self.value) {
-        event.u.epoch.epoch = *epoch;
-        event.u.epoch.asked_us = want->asked_us;
-        daemon_call_event(daemon, &event);
-        return;
+give_snapshot(struct daemon *daemon, uint64_t index)
+{
+    struct quorum_event event = {.kind = QUORUM_EV_SNAPSHOT};
+    GByteArray *bytes = g_byte_array_new();
+
+    table_core_snapshot(daemon->control->tables, TABLE_ROWS_AND_ANSWERS,
+                        bytes);
+    event.u.snapshot.index = index;
+    event.u.snapshot.data = g_byte_array_free_to_bytes(bytes);
+    control_step(daemon, &event);
+    g_bytes_unref(event.u.snapshot.data);
+}
+
+static void
+on_role(struct daemon *daemon, const struct quorum_action *action)
+{
+    struct daemon_id leader = action->u.role.leader;
+    const char *name = member_core_name(daemon->member, leader);
+    char term[32];
+
+    g_snprintf(term, sizeof(term), "%" G_GUINT64_FORMAT, action->u.role.term);
+    log_state(G_LOG_LEVEL_MESSAGE, "quorum role", "role",
+              quorum_role_name(action->u.role.role), "term", term, "leader",
+              leader.value == 0 ? "none" : (name == NULL ? "?" : name), NULL);
+    if (action->u.role.role != QUORUM_LEADER) {
+        end_leading(daemon);
     }
-    bytes = g_byte_array_new();
-    control_wire_pack(&message, bytes);
-    mesh_send(daemon->mesh, asked->u.epoch_want.origin, PEER_CONTROL,
-              bytes->data, bytes->len);
-    g_byte_array_unref(bytes);
 }
 
-/* The command that a wish for an epoch becomes; free BYTES. */
-static GByteArray *
-epoch_command(const struct call_want *want)
+/*
+ * Lead: all that earlier leaders committed is applied.  The present version
+ * is given to the spread core, which finds out who lacks it.
+ */
+static void
+begin_leading(struct daemon *daemon)
 {
-    struct table_command command = {.kind = TABLE_COMMAND_CALL_EPOCH};
-    struct table_epoch *epoch = &command.u.call_epoch;
-    GByteArray *bytes = g_byte_array_new();
+    struct control *control = daemon->control;
+    struct spread_event event = {.kind = SPREAD_EV_LEAD};
+    uint64_t version = table_core_position(control->tables).version;
 
-    epoch->pool = want->pool;
-    epoch->previous = want->previous;
-    epoch->lead = want->group[0].daemon;
-    epoch->group_count = want->group_count;
-    for (uint32_t i = 0; i < want->group_count; i++) {
-        epoch->group[i] = want->group[i].daemon;
-        epoch->incarnations[i] = want->group[i].incarnation;
+    control->leading = true;
+    event.u.lead.term = quorum_core_term(control->quorum);
+    event.u.lead.leading = true;
+    daemon_spread_event(daemon, &event);
+    if (version > 0) {
+        struct spread_event last = {.kind = SPREAD_EV_COMMITTED};
+
+        last.u.committed.from = version;
+        last.u.committed.to = version;
+        daemon_spread_event(daemon, &last);
     }
-    table_wire_pack_command(&command, bytes);
-    return bytes;
 }
 
-void
-control_epoch_request(struct daemon *daemon, struct control_message *message)
+static void
+end_leading(struct daemon *daemon)
 {
-    struct table_result result;
-    GByteArray *bytes;
+    struct spread_event event = {.kind = SPREAD_EV_LEAD};
 
-    if (!control_is_current(daemon)) {
-        daemon_api_pass_want(daemon, message);
+    if (!daemon->control->leading) {
         return;
     }
-    if (!message->u.epoch_want.want.confirm) {
-        bytes = epoch_command(&message->u.epoch_want.want);
-        commit(daemon, bytes, &result);
-        g_byte_array_unref(bytes);
+    daemon->control->leading = false;
+    event.u.lead.term = quorum_core_term(daemon->control->quorum);
+    daemon_spread_event(daemon, &event);
+}
+
+struct daemon_id
+control_leader(const struct daemon *daemon)
+{
+    if (daemon->control == NULL) {
+        return (struct daemon_id){0};
     }
-    tell_epoch(daemon, message);
+    return quorum_core_leader(daemon->control->quorum);
 }
 
-/* Give what a daemon with version FROM lacks. */
-void
-control_need(struct daemon *daemon, struct daemon_id to, uint64_t from,
-             uint64_t version)
+bool
+control_is_current(const struct daemon *daemon)
 {
-    const struct table_core *tables = control_tables(daemon);
-    struct table_position position = {from, 0};
-    struct spread_event event = {.kind = SPREAD_EV_DIFFERENCE};
-    GByteArray *bytes = g_byte_array_new();
+    return daemon->control != NULL && daemon->control->leading &&
+           quorum_core_read_ok(daemon->control->quorum, daemon_now_us());
+}
 
-    event.u.difference.to = to;
-    event.u.difference.bytes.from = from;
-    event.u.difference.bytes.to = version;
-    if (from == 0 ||
-        !table_core_difference(tables, position, version, bytes)) {
-        event.u.difference.bytes.from = 0;
-        event.u.difference.bytes.to = table_core_position(tables).version;
-        table_core_snapshot(tables, TABLE_ROWS, bytes);
-    }
-    event.u.difference.bytes.data = bytes->data;
-    event.u.difference.bytes.len = bytes->len;
-    daemon_spread_event(daemon, &event);
-    g_byte_array_unref(bytes);
+/* The committed tables, or those in force where there are none. */
+const struct table_core *
+control_tables(const struct daemon *daemon)
+{
+    return daemon->control != NULL ? daemon->control->tables
+                                   : daemon->in_force;
 }
 
+/* A version is in force on every live entry daemon. */
 void
 control_in_force(struct daemon *daemon, uint64_t version)
 {
+    char text[32];
+
     (void)daemon;
-    (void)version;
+    g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, version);
+    log_state(G_LOG_LEVEL_MESSAGE, "version staged on every live daemon",
+              "version", text, NULL);
 }
