--- a/src/pool/pool_announce.c
+++ b/src/pool/pool_announce.c
@@ -136,8 +136,11 @@
     return false;
 }
 
-/* Take an announcement, a target's own or one that a peer spreads. */
-void
+/*
+ * Take an announcement, a target's own or one that a peer spreads.  Returns
+ * false if it changed nothing.
+ */
+bool
 pool_announce(struct pool_core *core, uint64_t now_us,
               const struct pool_event *event, struct pool_actions *out)
 {
@@ -152,7 +155,7 @@
     if (fault != NULL) {
         core->counters.announcements_refused++;
         pool_refuse(out, ERR_INPUT, "announcement: %s", fault);
-        return;
+        return false;
     }
     said.weight = said.weight == 0 ? POOL_WEIGHT_USUAL : said.weight;
     target = pool_target_find(core, said.key.address);
@@ -161,10 +164,10 @@
         pool_refuse(out, ERR_LIMIT,
                     "%u targets are known already; raise the limit",
                     core->options.targets_max);
-        return;
+        return false;
     }
     if (target != NULL && is_refused(core, target, &said, direct, out)) {
-        return;
+        return false;
     }
     core->counters.announcements++;
     if (target == NULL) {
@@ -177,21 +180,27 @@
         target_restart(core, target, &said, now_us);
     }
     else if (is_stale(target, &said, direct, now_us + life)) {
-        return;
+        return false;
     }
     target_refresh(target, &said, now_us, now_us + life);
+    return true;
 }
 
-/* Mark targets whose announcement has expired; forget those long gone. */
-void
+/*
+ * Mark targets whose announcement has expired; forget those long gone.
+ * Returns true if any has expired now.
+ */
+bool
 pool_expire(struct pool_core *core, uint64_t now_us)
 {
+    bool expired = false;
     size_t i = 0;
 
     while (i < core->targets->len) {
         struct pool_target *target = core->targets->pdata[i];
 
         if (!target->expired && now_us >= target->expire_us) {
+            expired = true;
             target->expired = true;
             core->counters.expired++;
         }
@@ -201,6 +210,7 @@
         }
         i++;
     }
+    return expired;
 }
 
 bool
--- a/src/pool/pool_core.c
+++ b/src/pool/pool_core.c
@@ -19,7 +19,7 @@
 };
 
 static void entry_free(void *);
-static void row_set(struct pool_core *, const struct pool_row *,
+static bool row_set(struct pool_core *, const struct pool_row *,
                     struct pool_actions *);
 static void row_delete(struct pool_core *, struct pool_id,
                        struct pool_actions *);
@@ -196,7 +196,8 @@
     return NULL;
 }
 
-static void
+/* Take ROW in; false if it is refused. */
+static bool
 row_set(struct pool_core *core, const struct pool_row *row,
         struct pool_actions *out)
 {
@@ -205,7 +206,7 @@
 
     if (fault != NULL) {
         pool_refuse(out, ERR_INPUT, "%s", fault);
-        return;
+        return false;
     }
     entry = pool_entry_find(core, row->id);
     if (entry != NULL && row->version < entry->version) {
@@ -214,7 +215,7 @@
                     " is older than %" G_GUINT64_FORMAT
                     " in force; read the row again",
                     row->name, row->version, entry->version);
-        return;
+        return false;
     }
     if (entry == NULL) {
         entry = entry_new(core, row->id);
@@ -235,6 +236,7 @@
                             (unsigned)row->draining_count);
     }
     entry->row_changed = true;
+    return true;
 }
 
 static void
@@ -301,17 +303,21 @@
 pool_core_step(struct pool_core *core, uint64_t now_us,
                const struct pool_event *event, struct pool_actions *out)
 {
+    bool expired;
+
     switch (event->kind) {
     case POOL_EV_ROW_SET:
-        row_set(core, &event->u.row, out);
-        review(core, now_us, false, out);
+        if (row_set(core, &event->u.row, out)) {
+            review(core, now_us, true, out);
+        }
         break;
     case POOL_EV_ROW_DELETE:
         row_delete(core, event->u.row_delete, out);
         break;
     case POOL_EV_ANNOUNCE:
-        pool_announce(core, now_us, event, out);
-        review(core, now_us, false, out);
+        if (pool_announce(core, now_us, event, out)) {
+            review(core, now_us, true, out);
+        }
         break;
     case POOL_EV_HEALTH:
         pool_health_read(core, event);
@@ -323,9 +329,9 @@
         pool_evidence_take(core, now_us, &event->u.evidence);
         break;
     case POOL_EV_TICK:
-        pool_expire(core, now_us);
+        expired = pool_expire(core, now_us);
         probe_due(core, now_us, out);
-        review(core, now_us, false, out);
+        review(core, now_us, expired, out);
         break;
     case POOL_EV__MAX:
         break;
--- a/src/pool/pool_health.c
+++ b/src/pool/pool_health.c
@@ -341,6 +341,44 @@
     }
 }
 
+/* The held target of ENTRY that has the best record, or NULL. */
+static struct pool_target *
+least_bad(struct pool_core *core, const struct pool_entry *entry)
+{
+    struct pool_target *found = NULL;
+
+    for (size_t i = 0; i < core->targets->len; i++) {
+        struct pool_target *target = core->targets->pdata[i];
+
+        if (target->said.pool.value == entry->id.value &&
+            target->hold == POOL_HOLD_TRAFFIC && !target->expired &&
+            !pool_target_drains(entry, target) &&
+            (found == NULL ||
+             target->history.unanswered < found->history.unanswered)) {
+            found = target;
+        }
+    }
+    return found;
+}
+
+/* Release targets that the floor no longer allows to be held. */
+static void
+keep_floor(struct pool_core *core, const struct pool_entry *entry,
+           uint64_t now_us)
+{
+    unsigned held;
+    unsigned live = count_live(core, entry, &held);
+
+    while (held > hold_limit(core, live, POOL_HOLD_ENDPOINT) &&
+           release_endpoint(core, entry)) {
+        live = count_live(core, entry, &held);
+    }
+    while (held > hold_limit(core, live, POOL_HOLD_TRAFFIC)) {
+        hold_end(least_bad(core, entry), now_us);
+        live = count_live(core, entry, &held);
+    }
+}
+
 /* Review the targets of ENTRY: decay, back-off, holds that end or begin. */
 void
 pool_review(struct pool_core *core, uint64_t now_us, struct pool_entry *entry)
@@ -362,6 +400,7 @@
         core->counters.endpoint_overruled += overruled && !target->overruled;
         target->overruled = overruled;
     }
+    keep_floor(core, entry, now_us);
     hold_worst(core, entry, POOL_HOLD_TRAFFIC, now_us);
     hold_worst(core, entry, POOL_HOLD_ENDPOINT, now_us);
 }
--- a/src/pool/pool_internal.h
+++ b/src/pool/pool_internal.h
@@ -76,9 +76,9 @@
 void pool_refuse(struct pool_actions *, enum err_code, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
-void pool_announce(struct pool_core *, uint64_t now_us,
+bool pool_announce(struct pool_core *, uint64_t now_us,
                    const struct pool_event *, struct pool_actions *);
-void pool_expire(struct pool_core *, uint64_t now_us);
+bool pool_expire(struct pool_core *, uint64_t now_us);
 
 void pool_health_read(struct pool_core *, const struct pool_event *);
 void pool_load_read(struct pool_core *, uint64_t now_us,
