Prove that the death of a target's holder is not seen

Change: such a record is overruled at once; the property first waits until all daemons name the same holder, and asks for it again at the end.

--- a/src/member/spread_target.c
+++ b/src/member/spread_target.c
@@ -17,6 +17,8 @@
                    enum spread_refusal);
 static void add_refresh(struct spread_core *, struct spread_held *);
 static bool is_wanted(struct spread_core *, const struct spread_target *);
+static bool is_contradicted(struct spread_core *, const struct spread_held *,
+                            const struct spread_target *);
 static uint64_t expiry_us(const struct spread_core *,
                           const struct spread_target *);
 
@@ -247,6 +249,26 @@
            spread_is_live(core, target->holder);
 }
 
+/*
+ * Whether the record just taken for HELD is to be overruled by the one
+ * BEFORE, since the target announced itself here of late: the new one says
+ * that it expired, or it took the target from this daemon for a holder that
+ * is not live.
+ */
+static bool
+is_contradicted(struct spread_core *core, const struct spread_held *held,
+                const struct spread_target *before)
+{
+    bool is_orphan = before->holder.value == core->options.self.value &&
+                     !spread_holder(core, held->target.holder)->live;
+
+    if (before->view.state == TARGET_DOWN || held->seen_us == 0 ||
+        core->now_us - held->seen_us >= before->life_ms * US_PER_MS / 2) {
+        return false;
+    }
+    return is_orphan || held->target.view.state == TARGET_DOWN;
+}
+
 /*
  * Take TARGET in if it is later than what is known.  Its holder may have
  * started again just now, unknown to the view: a target in use stays so for
@@ -281,9 +303,8 @@
         holder->gone_us = core->now_us;
     }
     store(core, held, target);
-    if (target->view.state == TARGET_DOWN &&
-        before.view.state != TARGET_DOWN && held->seen_us != 0 &&
-        core->now_us - held->seen_us < before.life_ms * US_PER_MS / 2) {
+    if (is_contradicted(core, held, &before)) {
+        core->counters.targets_taken_over++;
         spread_change(core, held, &before);
     }
     return true;
--- a/tests/property/prop_spread_net.h
+++ b/tests/property/prop_spread_net.h
@@ -240,6 +240,32 @@
         return true;
     }
 
+    /* Whether all running daemons name the same holder of each target. */
+    bool
+    holders_agree() const
+    {
+        std::map<uint32_t, std::set<uint64_t>> holders;
+
+        for (const auto &node : nodes) {
+            if (node.core != nullptr && node.entry) {
+                spread_core_targets(
+                    node.core,
+                    [](const spread_target *target, void *data) {
+                        (*static_cast<decltype(holders) *>(
+                            data))[target->view.key.address]
+                            .insert(target->holder.value);
+                    },
+                    &holders);
+            }
+        }
+        for (const auto &entry : holders) {
+            if (entry.second.size() > 1) {
+                return false;
+            }
+        }
+        return holders.size() == targets.size() && targets_converged();
+    }
+
     bool
     settle(uint64_t limit)
     {
