--- a/bench/bench_control_model.c
+++ b/bench/bench_control_model.c
@@ -19,7 +19,7 @@
 #define TICK_US      50000
 #define DELAY_US     1500
 #define SETTLE_S     20
-#define MEASURE_S    30
+#define MEASURE_S    60
 #define UDP_HEADERS  28 /* bytes of IPv4 and UDP */
 #define TCP_HEADERS  44 /* bytes of IPv4, TCP and the frame's length */
 #define EDIT_BYTES   300
@@ -28,6 +28,18 @@
 #define BASE_ADDRESS 0x0a000000u
 #define ZONES        8
 
+/*
+ * The size that is designed for: 10,000 daemons, 73,000 targets, 5,300 pools,
+ * 12,000 edits, 330 failures and 17,000 restarts a day.  Sizes are per daemon;
+ * rates are those of the whole system at any number of daemons.  A restart is
+ * counted twice: as a daemon's, and as four changes of a target.
+ */
+#define DESIGN_TARGETS        7.3
+#define DESIGN_POOLS          0.53
+#define DESIGN_EDITS_PER_S    (12000.0 / 86400)
+#define DESIGN_RESTARTS_PER_S (17330.0 / 86400)
+#define DESIGN_CHANGES_PER_S  (4 * DESIGN_RESTARTS_PER_S)
+
 /* One run: its sizes, and what it measured. */
 struct run {
     size_t daemons, zones, targets, pools;
@@ -62,6 +74,7 @@
     GRand *rand;
     uint64_t now_us;
     uint64_t committed, committed_us;
+    bool leading;
     uint32_t *target_changes;
     GArray *in_force_ms;
     struct member_actions member_actions;
@@ -312,7 +325,8 @@
         model->target_changes[(size_t)g_rand_int_range(
             model->rand, 0, (gint32)run->targets)]++;
     }
-    if (g_rand_double(model->rand) < run->edits_per_s * tick_s) {
+    if (model->leading &&
+        g_rand_double(model->rand) < run->edits_per_s * tick_s) {
         commit(model);
     }
     if (g_rand_double(model->rand) < run->restarts_per_s * tick_s) {
@@ -378,6 +392,7 @@
     lead.u.lead.term = 1;
     lead.u.lead.leading = true;
     spread_step(&model, 0, &lead);
+    model.leading = true;
     for (size_t i = 0; i < run->daemons; i++) {
         model.nodes[i].bytes = 0;
     }
@@ -447,9 +462,17 @@
     else if (strcmp(name, "pools") == 0) {
         run->pools = (size_t)value;
     }
-    else {
+    else if (strcmp(name, "edits_per_hour") == 0) {
         run->edits_per_s = value / 3600.0;
     }
+    else {
+        run->daemons = (size_t)value;
+        run->targets = (size_t)(value * DESIGN_TARGETS);
+        run->pools = (size_t)(value * DESIGN_POOLS);
+        run->edits_per_s = DESIGN_EDITS_PER_S;
+        run->changes_per_s = DESIGN_CHANGES_PER_S;
+        run->restarts_per_s = DESIGN_RESTARTS_PER_S;
+    }
 }
 
 /* Measure at each of VALUES, all else as today, and print the lines. */
@@ -506,9 +529,12 @@
     const double pools[] = {2, 8, 32, 128};
     const double edits[] = {60, 240, 960, 3600};
 
+    const double design[] = {128, 256, 512, 1024};
+
     run_series("daemons", daemons, 4);
     run_series("targets", targets, 4);
     run_series("pools", pools, 4);
     run_series("edits_per_hour", edits, 4);
+    run_series("design", design, 4);
     return EXIT_SUCCESS;
 }
