Let the fabric keep the outer source of a packet

Cause: a daemon tells a target's answer by its outer source; the fabric sent everything from its own address, so all answers were dropped as foreign (trial: 250 of 250 segments, 36 of 36 answers of calls). Change: the fabric sends from a socket bound to the sender's address.

--- a/tests/stand-ins/fabric.c
+++ b/tests/stand-ins/fabric.c
@@ -28,6 +28,7 @@
     struct peer_proxy *peers;
     GArray *entries;     /* struct net_address */
     GHashTable *callers; /* inner address to struct net_address */
+    GHashTable *sources; /* outer address to struct net_udp */
     uint64_t unknown;    /* answers for a caller never seen */
     uint64_t malformed;
     uint64_t unreachable; /* packets with every entry daemon cut off */
@@ -42,6 +43,9 @@
 static void options_parse(int, char **, struct options *);
 static void ways_open(struct fabric *, char **ways);
 static void learn(struct fabric *, uint32_t inner, struct net_address);
+static struct net_udp *source_of(struct fabric *, uint32_t ip);
+static void ignore_cb(void *, struct net_udp *, struct net_address,
+                      const uint8_t *, size_t);
 static void up_cb(void *, struct net_udp *, struct net_address,
                   const uint8_t *, size_t);
 static void down_cb(void *, struct net_udp *, struct net_address,
@@ -123,6 +127,36 @@
     *known = from;
 }
 
+static void
+ignore_cb(void *arg, struct net_udp *udp, struct net_address from,
+          const uint8_t *data, size_t len)
+{
+    (void)arg;
+    (void)udp;
+    (void)from;
+    (void)data;
+    (void)len;
+}
+
+/*
+ * A socket that sends from IP, since the outer source of a packet is still
+ * its sender's when it comes out of a fabric.
+ */
+static struct net_udp *
+source_of(struct fabric *fabric, uint32_t ip)
+{
+    struct net_address local = {ip, 0};
+    struct net_udp *udp =
+        g_hash_table_lookup(fabric->sources, GUINT_TO_POINTER(ip));
+
+    if (udp == NULL) {
+        udp = g_new0(struct net_udp, 1);
+        net_udp_open(fabric->path.loop, udp, local, ignore_cb, fabric);
+        g_hash_table_insert(fabric->sources, GUINT_TO_POINTER(ip), udp);
+    }
+    return udp;
+}
+
 /* A packet of a caller or a target: to any entry daemon that it reaches. */
 static void
 up_cb(void *arg, struct net_udp *udp, struct net_address from,
@@ -134,6 +168,7 @@
     uint32_t count = 0;
     struct net_address *to;
 
+    (void)udp;
     if (geneve_decode(data, len, &packet) == GENEVE_OK) {
         learn(fabric, packet.src, from);
     }
@@ -148,7 +183,8 @@
         return;
     }
     to = reached[fault_random(fabric->path.rules, count)];
-    path_send(&fabric->path, udp, from.ip, to->ip, *to, data, len);
+    path_send(&fabric->path, source_of(fabric, from.ip), from.ip, to->ip, *to,
+              data, len);
 }
 
 /* A packet of a daemon for a caller. */
@@ -274,6 +310,7 @@
     fabric.path.rules = fault_rules_new((uint32_t)options.seed);
     fabric.peers = peer_proxy_new(&fabric.path, (uint16_t)options.peer_port);
     fabric.entries = g_array_new(FALSE, FALSE, sizeof(struct net_address));
+    fabric.sources = g_hash_table_new(NULL, NULL);
     fabric.callers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     fabric.up = g_new0(struct net_udp, 1);
     fabric.down = g_new0(struct net_udp, 1);
