--- a/bench/bench_control_model.c
+++ b/bench/bench_control_model.c
@@ -493,7 +493,7 @@
                           .changes_per_s = 0.1};
 
         set_size(&run, name, values[i]);
-        run.zones = run.daemons >= 4 * ZONES ? ZONES : run.zones;
+        run.zones = run.daemons >= (size_t)4 * ZONES ? ZONES : run.zones;
         measure(&run);
         x[i] = values[i];
         bytes[i] = run.bytes_per_s;
--- a/bench/flow_fleet.h
+++ b/bench/flow_fleet.h
@@ -228,7 +228,7 @@
 static inline uint32_t
 fleet_any_daemon(struct fleet *fleet)
 {
-    uint32_t alive[FLEET_DAEMONS];
+    uint32_t alive[FLEET_DAEMONS] = {0};
     uint32_t count = 0;
 
     for (uint32_t i = 0; i < FLEET_DAEMONS; i++) {
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -2,52 +2,86 @@
 # Run every test named: a program, or a folder of scripted runs.
 # Entries of KNOWN-RED.txt ("name | command and seed | what was seen | issue")
 # are run and printed, and do not fail the run.
+#
+#     run-tests.sh [--jobs N] TEST...
+#
+# Programs run side by side, then the scripted runs, which are timed, with
+# fewer at once.
 set -u
 cd "$(dirname "$0")/.."
-passed=0 failed=0 red=0
-known_red() {
+JOBS=4 SCRIPT_JOBS=3
+if [ "${1:-}" = --jobs ]; then
+    JOBS=$2 SCRIPT_JOBS=$2
+    shift 2
+fi
+results=$(mktemp -d)
+trap 'rm -rf "$results"' EXIT
+
+known_red() { # NAME
     [ -f KNOWN-RED.txt ] && grep -v '^#' KNOWN-RED.txt | cut -d'|' -f1 |
         sed 's/ *$//' | grep -qxF "$1"
 }
-run_one() { # NAME COMMAND...
-    local name=$1 log start
-    shift
-    log="build/log/$name.txt"
+
+run_test() { # TEST: a program, or a folder with run.sh
+    local name log start seconds scratch status=0
+    name=${1#build/tests/}
+    name=${name#tests/}
+    log=build/log/$name.txt
     mkdir -p "$(dirname "$log")"
     start=$(date +%s)
-    if "$@" >"$log" 2>&1; then
-        passed=$((passed + 1))
-        echo "ok   $name ($(($(date +%s) - start)) s)"
+    case "$name" in
+    fuzz/*)
+        scratch=$(mktemp -d)
+        "$1" -runs=200000 -seed=1 -max_len=2048 \
+            -artifact_prefix="$scratch/" "$scratch" \
+            "tests/fuzz/corpus/$(basename "$name")" >"$log" 2>&1 || status=1
+        rm -rf "$scratch"
+        ;;
+    script/*) bash tests/script/runner.sh "$1" >"$log" 2>&1 || status=1 ;;
+    *) "$1" >"$log" 2>&1 || status=1 ;;
+    esac
+    seconds=$(($(date +%s) - start))
+    if [ $status -eq 0 ]; then
+        echo "ok   $name ($seconds s)"
+        echo passed >"$results/$BASHPID"
     elif known_red "$name"; then
-        red=$((red + 1))
-        echo "RED  $name, listed in KNOWN-RED.txt"
+        echo "RED  $name ($seconds s), listed in KNOWN-RED.txt"
+        echo red >"$results/$BASHPID"
     else
-        failed=$((failed + 1))
-        echo "FAIL $name"
+        echo "FAIL $name ($seconds s)"
         tail -n 40 "$log" | sed 's/^/     /'
+        echo failed >"$results/$BASHPID"
     fi
 }
+
+run_all() { # JOBS TEST...
+    local jobs=$1 test
+    shift
+    for test in "$@"; do
+        while [ "$(jobs -rp | wc -l)" -ge "$jobs" ]; do
+            wait -n
+        done
+        run_test "$test" &
+    done
+    wait
+}
+
+programs=() scripts=()
 for test in "$@"; do
-    if [ -d "$test" ]; then
+    if [ -d "$test" ] && [ ! -e "$test/run.sh" ]; then
         for run in "$test"/*/run.sh; do
-            [ -e "$run" ] || continue
-            name="script/$(basename "$(dirname "$run")")"
-            run_one "$name" bash "$test/runner.sh" "$(dirname "$run")"
+            [ -e "$run" ] && scripts+=("$(dirname "$run")")
         done
-        continue
+    elif [ -d "$test" ]; then
+        scripts+=("$test")
+    else
+        programs+=("$test")
     fi
-    name=${test#build/tests/}
-    case "$name" in
-    fuzz/*)
-        corpus="tests/fuzz/corpus/$(basename "$name")"
-        scratch=$(mktemp -d)
-        run_one "$name" "$test" -runs=200000 -seed=1 -max_len=2048 \
-            -artifact_prefix="$scratch/" "$scratch" "$corpus"
-        rm -rf "$scratch"
-        ;;
-    *) run_one "$name" "$test" ;;
-    esac
 done
-echo "known red: $red"
+run_all "$JOBS" ${programs[@]+"${programs[@]}"}
+run_all "$SCRIPT_JOBS" ${scripts[@]+"${scripts[@]}"}
+count() { cat "$results"/* 2>/dev/null | grep -cx "$1"; }
+passed=$(count passed) failed=$(count failed)
+echo "known red: $(count red)"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
