--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -15,7 +15,7 @@
 
 #define VOTERS  3
 #define TICK_US 50000
-#define SECOND  1000000
+#define SECOND  UINT64_C(1000000)
 
 /* A voter whose store is either quick, or held back by the test. */
 struct voter {
