--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -247,6 +247,9 @@
         link = mesh_link_new(mesh, id);
         g_hash_table_insert(mesh->links, &link->id.value, link);
     }
+    if (link->address != 0 && link->address != address) {
+        mesh_link_reset(link);
+    }
     link->address = address;
 }
 
--- a/src/peer/mesh_link.c
+++ b/src/peer/mesh_link.c
@@ -35,24 +35,31 @@
 void
 mesh_link_close(struct mesh_link *link)
 {
-    link->closing = true;
+    link->ended = true;
     drop(link);
     uv_close((uv_handle_t *)&link->retry, NULL);
 }
 
+/* Give the connection up, as the peer has moved to another address. */
+void
+mesh_link_reset(struct mesh_link *link)
+{
+    drop(link);
+}
+
 static void
 dial(struct mesh_link *link)
 {
     struct sockaddr_in to;
 
-    if (link->closing || uv_is_active((uv_handle_t *)&link->retry)) {
+    if (link->ended || link->state != MESH_LINK_IDLE ||
+        uv_is_active((uv_handle_t *)&link->retry)) {
         return;
     }
     uv_tcp_init(link->mesh->loop, &link->tcp);
     uv_tcp_nodelay(&link->tcp, 1);
     link->tcp.data = link;
-    link->open = true;
-    link->greeted = false;
+    link->state = MESH_LINK_OPENING;
     g_byte_array_set_size(link->input, 0);
     mesh_sockaddr(mesh_way_to(link->mesh, link->address), &to);
     if (uv_tcp_connect(&link->connect, &link->tcp, (struct sockaddr *)&to,
@@ -65,11 +72,10 @@
 static void
 drop(struct mesh_link *link)
 {
-    if (!link->open) {
+    if (link->state == MESH_LINK_IDLE || link->state == MESH_LINK_CLOSING) {
         return;
     }
-    link->open = false;
-    link->greeted = false;
+    link->state = MESH_LINK_CLOSING;
     g_byte_array_set_size(link->queue, 0);
     uv_close((uv_handle_t *)&link->tcp, on_closed);
 }
@@ -79,7 +85,8 @@
 {
     struct mesh_link *link = handle->data;
 
-    if (link->closing) {
+    link->state = MESH_LINK_IDLE;
+    if (link->ended) {
         return;
     }
     uv_timer_start(&link->retry, on_retry, link->retry_ms, 0);
@@ -91,10 +98,10 @@
 {
     struct mesh_link *link = timer->data;
 
-    if (link->open && !link->greeted) {
+    if (link->state == MESH_LINK_OPENING) {
         drop(link);
     }
-    else if (!link->open && link->queue->len > 0) {
+    else if (link->queue->len > 0) {
         dial(link);
     }
 }
@@ -154,7 +161,8 @@
     case FRAME_READY:
         break;
     }
-    if (link->greeted || frame.channel != PEER_HELLO_ANSWER) {
+    if (link->state != MESH_LINK_OPENING ||
+        frame.channel != PEER_HELLO_ANSWER) {
         return false;
     }
     answer = parsleyspur__hello_answer__unpack(NULL, frame.len, frame.payload);
@@ -190,7 +198,7 @@
     if (len <= 0 || link->input->len > 0) {
         return;
     }
-    link->greeted = true;
+    link->state = MESH_LINK_READY;
     link->retry_ms = MESH_RETRY_MIN_MS;
     uv_timer_stop(&link->retry);
     if (link->queue->len > 0) {
@@ -205,10 +213,10 @@
 mesh_link_send(struct mesh_link *link, enum peer_channel channel,
                const uint8_t *payload, size_t len)
 {
-    if (link->closing) {
+    if (link->ended) {
         return false;
     }
-    if (link->greeted) {
+    if (link->state == MESH_LINK_READY) {
         GByteArray *frames =
             g_byte_array_sized_new((guint)(FRAME_HEADER_LEN + len));
 
@@ -220,8 +228,6 @@
         return false;
     }
     frame_append(link->queue, channel, payload, len);
-    if (!link->open) {
-        dial(link);
-    }
+    dial(link);
     return true;
 }
--- a/src/peer/mesh_private.h
+++ b/src/peer/mesh_private.h
@@ -12,6 +12,15 @@
 #define MESH_ACCEPTED_MAX  1024 /* connections of peers at once */
 #define MESH_DATAGRAM_HEAD 14   /* bytes: version, channel, cluster, id */
 
+/* A link's connection; a closing one keeps its handle until libuv is done. */
+enum mesh_link_state {
+    MESH_LINK_IDLE,
+    MESH_LINK_OPENING, /* until the hello is answered */
+    MESH_LINK_READY,
+    MESH_LINK_CLOSING,
+    MESH_LINK__MAX
+};
+
 /* A connection that this daemon opened to a peer. */
 struct mesh_link {
     struct mesh *mesh;
@@ -20,9 +29,8 @@
     uv_tcp_t tcp;
     uv_connect_t connect;
     uv_timer_t retry;
-    bool open;    /* tcp is initialised and not closing */
-    bool greeted; /* the hello was answered */
-    bool closing; /* the mesh is being closed */
+    enum mesh_link_state state;
+    bool ended; /* the mesh is being closed */
     unsigned retry_ms;
     GByteArray *queue; /* frames that wait for the hello's answer */
     GByteArray *input;
@@ -63,6 +71,7 @@
 void mesh_accepted_close(struct mesh_accepted *);
 struct mesh_link *mesh_link_new(struct mesh *, struct daemon_id);
 void mesh_link_close(struct mesh_link *);
+void mesh_link_reset(struct mesh_link *);
 bool mesh_link_send(struct mesh_link *, enum peer_channel, const uint8_t *,
                     size_t);
 
