--- a/src/flow/flow_core.h
+++ b/src/flow/flow_core.h
@@ -14,7 +14,8 @@
 #include "base/view.h"
 #include "flow/flow_message.h"
 
-#define FLOW_HOPS_MAX 2 /* hand-ons that one packet may take */
+#define FLOW_HOPS_MAX  2 /* hand-ons that one packet may take */
+#define FLOW_HOPS_LAST 3 /* marks the last one, which must decide */
 
 /* 0 stands for the default in every member but self and seed. */
 struct flow_options {
--- a/src/flow/flow_packet.c
+++ b/src/flow/flow_packet.c
@@ -334,7 +334,8 @@
         pool->ask.value != look->core->options.self.value) {
         return hand_on(look, pool);
     }
-    if (look->udp && change && pool == route->former && route->pool->acting) {
+    if (look->packet->hops == FLOW_HOPS_LAST && change &&
+        route->pool->acting) {
         return flow_table_find(&route->pool->table, look->digest) != NULL
                    ? at_lead(look, route->pool)
                    : by_map(look, pool);
@@ -379,7 +380,11 @@
                    : at_lead(look, pool);
     }
     if (look->packet->hops < FLOW_HOPS_MAX && route->pool->ask.value != 0) {
-        return hand_on_to(look, pool->id, route->pool->ask);
+        struct flow_verdict verdict =
+            hand_on_to(look, pool->id, route->pool->ask);
+
+        verdict.hops = FLOW_HOPS_LAST;
+        return verdict;
     }
     return at_lead(look, pool);
 }
--- a/src/flow/flow_term.c
+++ b/src/flow/flow_term.c
@@ -8,7 +8,8 @@
 #define GRANT_LIMIT_US 2000000  /* a grant not taken up is taken back */
 #define STOP_LIMIT_US  20000000 /* a stop does not wait longer */
 
-static void begin(struct flow_core *, struct flow_pool *, uint64_t epoch);
+static void begin(struct flow_core *, struct flow_pool *, uint64_t epoch,
+                  uint64_t mark_seq);
 static void take_over(struct flow_core *, struct flow_pool *);
 static void count_flows(struct flow_core *, struct flow_pool *);
 static uint64_t next_epoch(const struct flow_pool *, struct daemon_id);
@@ -56,9 +57,13 @@
     }
 }
 
-/* Decide for the pool from here on, with the map and records held. */
+/*
+ * Decide for the pool from here on, with the map and records held.  Marks
+ * are in force once MARK_SEQ is acknowledged in the new epoch, 0 for at once.
+ */
 static void
-begin(struct flow_core *core, struct flow_pool *pool, uint64_t epoch)
+begin(struct flow_core *core, struct flow_pool *pool, uint64_t epoch,
+      uint64_t mark_seq)
 {
     pool->prev_epoch = pool->epoch;
     pool->prev_seq = pool->seq;
@@ -74,7 +79,7 @@
     pool->tokens = core->options.copy_bytes_per_s;
     pool->tokens_us = core->now_us;
     pool->share_before = pool->share;
-    pool->share_seq = pool->seq;
+    pool->share_seq = mark_seq;
     pool->complete_us =
         pool->prev_epoch == 0
             ? 0
@@ -85,11 +90,11 @@
 
         bucket->phase = FLOW_PHASE_STABLE;
         bucket->converted = false;
-        bucket->mark_seq = pool->seq + 1;
+        bucket->mark_seq = mark_seq;
         bucket->changed_seq = 0;
     }
     for (guint i = 0; i < pool->slots->len; i++) {
-        flow_slot_at(pool, i)->avoid_seq = pool->seq + 1;
+        flow_slot_at(pool, i)->avoid_seq = mark_seq;
         flow_slot_at(pool, i)->avoid_us = core->now_us;
     }
     pool->slots_seq = pool->seq + 1;
@@ -185,9 +190,10 @@
     else {
         flow_copy_attach(core, pool, FLOW_REPLICA_HEIR, heir);
     }
+    flow_map_followers(core, pool);
     if (!flow_copy_prepare(core, pool) || pool->dirty ||
-        !flow_copy_near(pool, copy) || !flow_map_acked(pool, heir) ||
-        !flow_route_current(core, heir)) {
+        pool->min_acked < pool->seq || !flow_copy_near(pool, copy) ||
+        !flow_map_acked(pool, heir) || !flow_route_current(core, heir)) {
         return;
     }
     pool->grant_to = heir;
@@ -211,7 +217,7 @@
 {
     if (!flow_peer_alive(core, pool->grant_to) ||
         core->now_us > pool->granted_us + GRANT_LIMIT_US) {
-        begin(core, pool, next_epoch(pool, core->options.self));
+        begin(core, pool, next_epoch(pool, core->options.self), pool->seq + 1);
         return;
     }
     flow_copy_flush(core, pool);
@@ -234,7 +240,7 @@
         pool->in_position != message->position) {
         return;
     }
-    begin(core, pool, message->epoch);
+    begin(core, pool, message->epoch, 0);
     if (message->share != 0) {
         pool->complete_us = 0;
     }
@@ -272,7 +278,7 @@
         (all_without_map(core, pool) ||
          core->now_us > pool->query_start_us + CREATE_WAIT_US)) {
         flow_map_create(core, pool);
-        begin(core, pool, next_epoch(pool, core->options.self));
+        begin(core, pool, next_epoch(pool, core->options.self), 1);
         return;
     }
     if (core->now_us < pool->query_us + FLOW_RESEND_US) {
@@ -333,7 +339,7 @@
 {
     pool->lost_us = 0;
     core->counters.takeovers++;
-    begin(core, pool, next_epoch(pool, core->options.self));
+    begin(core, pool, next_epoch(pool, core->options.self), pool->seq + 1);
     pool->udp_known_us =
         core->now_us + (uint64_t)core->options.udp_idle_s * US_PER_S;
 }
