--- a/src/flow/flow_core.h
+++ b/src/flow/flow_core.h
@@ -14,7 +14,8 @@
 #include "base/view.h"
 #include "flow/flow_message.h"
 
-#define FLOW_HOPS_MAX 2 /* hand-ons that one packet may take */
+#define FLOW_HOPS_MAX  2 /* hand-ons that one packet may take */
+#define FLOW_HOPS_LAST 3 /* marks the last one, which must decide */
 
 /* 0 stands for the default in every member but self and seed. */
 struct flow_options {
@@ -97,6 +98,7 @@
     uint8_t hops;          /* HAND_ON: to be written into the hand-on */
     uint16_t port;         /* FORWARD, RESET: of the target */
     uint32_t address;      /* FORWARD, RESET: of the target; 0 for none */
+    uint32_t incarnation;  /* FORWARD: of the target that was meant */
     struct flow_reset reset;
 };
 
