Give entry daemons rows alone, so that call epochs leave no gap

Cause: after 200 kills a daemon stayed at version 1123 of 1675: each update that it was given was a gap. An update caught up by a peer carried no call epochs, the next one from the leader was built on a position with them. Ruled out: lost messages (the updates arrived, and were refused). Change: table_core_rows() gives rows without epochs and answers, as a difference or whole; entry daemons are fed by it alone. A control daemon to pass requests on to is chosen in turn, not always the same one.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -255,8 +255,6 @@
     }
     table_core_free(control->tables);
     control->tables = fresh;
-    control->spread.version = table_core_position(fresh).version;
-    control->spread.epoch = 0;
 }
 
 static void
--- a/src/daemon/control_command.c
+++ b/src/daemon/control_command.c
@@ -9,7 +9,7 @@
 #include "daemon/api_handlers.h"
 #include "peer/table_wire.h"
 
-static void spread_version(struct daemon *, struct table_position);
+static void spread_version(struct daemon *, uint64_t before);
 static void finish(struct daemon *, struct control_wait *,
                    const struct control_outcome *);
 static void propose(struct daemon *, struct control_wait *, GByteArray *);
@@ -21,7 +21,7 @@
 control_apply(struct daemon *daemon, const struct quorum_entry *entry)
 {
     struct control *control = daemon->control;
-    struct table_position before = table_core_position(control->tables);
+    uint64_t before = table_core_position(control->tables).version;
     struct control_outcome outcome = {.available = true};
     struct control_wait *wait;
     const uint8_t *data;
@@ -33,7 +33,7 @@
     data = g_bytes_get_data(entry->command, &len);
     table_core_apply(control->tables, entry->index, data, len,
                      &outcome.result);
-    if (table_core_position(control->tables).version > before.version) {
+    if (table_core_position(control->tables).version > before) {
         spread_version(daemon, before);
     }
     wait = g_hash_table_lookup(control->waiting, &entry->request);
@@ -42,29 +42,24 @@
     }
 }
 
-/*
- * Give the version just made to the entry daemons.  The difference is built
- * on the position as of the version before: call epochs move the position
- * too, and entry daemons get them with the next version only.
- */
+/* Give the version just made to the entry daemons. */
 static void
-spread_version(struct daemon *daemon, struct table_position before)
+spread_version(struct daemon *daemon, uint64_t before)
 {
     struct control *control = daemon->control;
-    struct table_position after = table_core_position(control->tables);
+    uint64_t after = table_core_position(control->tables).version;
     struct spread_event event = {.kind = SPREAD_EV_COMMITTED};
-    GByteArray *bytes = g_byte_array_new();
+    GByteArray *bytes;
 
-    if (control->leading &&
-        table_core_difference(control->tables, control->spread, after.version,
-                              bytes)) {
-        event.u.committed.from = before.version;
-        event.u.committed.to = after.version;
-        event.u.committed.data = bytes->data;
-        event.u.committed.len = bytes->len;
-        daemon_spread_event(daemon, &event);
+    if (!control->leading) {
+        return;
     }
-    control->spread = after;
+    bytes = g_byte_array_new();
+    event.u.committed.from = table_core_rows(control->tables, before, after,
+                                             bytes, &event.u.committed.to);
+    event.u.committed.data = bytes->data;
+    event.u.committed.len = bytes->len;
+    daemon_spread_event(daemon, &event);
     g_byte_array_unref(bytes);
 }
 
@@ -253,23 +248,15 @@
 control_need(struct daemon *daemon, struct daemon_id to, uint64_t from,
              uint64_t version)
 {
-    const struct table_core *tables = control_tables(daemon);
-    struct table_position position = {from, 0};
     struct spread_event event = {.kind = SPREAD_EV_DIFFERENCE};
+    struct spread_bytes *given = &event.u.difference.bytes;
     GByteArray *bytes = g_byte_array_new();
 
     event.u.difference.to = to;
-    event.u.difference.bytes.from = from;
-    event.u.difference.bytes.to = version;
-    if (from == 0 ||
-        !table_core_difference(tables, position, version, bytes)) {
-        event.u.difference.bytes.from = 0;
-        event.u.difference.bytes.to = table_core_position(tables).version;
-        g_byte_array_set_size(bytes, 0);
-        table_core_snapshot(tables, TABLE_ROWS, bytes);
-    }
-    event.u.difference.bytes.data = bytes->data;
-    event.u.difference.bytes.len = bytes->len;
+    given->from = table_core_rows(control_tables(daemon), from, version, bytes,
+                                  &given->to);
+    given->data = bytes->data;
+    given->len = bytes->len;
     daemon_spread_event(daemon, &event);
     g_byte_array_unref(bytes);
 }
--- a/src/daemon/daemon_api.c
+++ b/src/daemon/daemon_api.c
@@ -175,7 +175,7 @@
     if (matches == 0) {
         return (struct daemon_id){0};
     }
-    return found[daemon->next_request % matches];
+    return found[daemon->next_control++ % matches];
 }
 
 /* Send a control request on; false if no control daemon can be reached. */
--- a/src/daemon/daemon_private.h
+++ b/src/daemon/daemon_private.h
@@ -95,6 +95,7 @@
     /* Requests forwarded to the control leader. */
     GHashTable *forwarded; /* id -> struct daemon_forward */
     uint64_t next_request;
+    uint64_t next_control; /* control daemon to ask next */
 };
 
 uint64_t daemon_now_us(void);
--- a/src/daemon/daemon_table.c
+++ b/src/daemon/daemon_table.c
@@ -106,11 +106,12 @@
 save(struct daemon *daemon)
 {
     GByteArray *bytes = g_byte_array_new();
+    uint64_t version;
     char *path = saved_path(daemon);
     char *fresh = g_strconcat(path, ".new", NULL);
     bool ok;
 
-    table_core_snapshot(daemon->in_force, TABLE_ROWS, bytes);
+    table_core_rows(daemon->in_force, 0, 0, bytes, &version);
     ok = write_synced(fresh, bytes) && rename(fresh, path) == 0;
     if (!ok && !daemon->save_failed) {
         log_state(G_LOG_LEVEL_WARNING,
--- a/src/table/table_core.h
+++ b/src/table/table_core.h
@@ -58,6 +58,8 @@
 
 bool table_core_difference(const struct table_core *, struct table_position,
                            uint64_t to_version, GByteArray *);
+uint64_t table_core_rows(const struct table_core *, uint64_t from_version,
+                         uint64_t to_version, GByteArray *, uint64_t *result);
 void table_core_snapshot(const struct table_core *, enum table_scope,
                          GByteArray *);
 enum table_merge table_core_merge(struct table_core *, const uint8_t *,
--- a/src/table/table_update.c
+++ b/src/table/table_update.c
@@ -5,6 +5,7 @@
 
 static gint compare_epochs(gconstpointer, gconstpointer);
 static void collect_epochs(const struct table_core *, uint64_t, GArray *);
+static void collect_changes(const struct table_core *, struct table_update *);
 static void collect_rows(const struct table_core *, enum table_kind,
                          GPtrArray *);
 static enum table_merge merge_difference(struct table_core *,
@@ -53,6 +54,21 @@
     }
 }
 
+/* Add the changes between the versions that UPDATE leads from and to. */
+static void
+collect_changes(const struct table_core *core, struct table_update *update)
+{
+    for (GList *item = core->changes.head; item != NULL; item = item->next) {
+        const struct table_change *change = item->data;
+
+        if (change->row.version > update->from.version &&
+            change->row.version <= update->to.version) {
+            g_ptr_array_add(update->changes,
+                            table_change_new(change->remove, &change->row));
+        }
+    }
+}
+
 /*
  * Append to OUT the difference that leads a replica at FROM to TO_VERSION; 0
  * or a later version than the tables' means the current state.  Returns
@@ -78,15 +94,7 @@
     else {
         collect_epochs(core, from.epoch, update.epochs);
     }
-    for (GList *item = core->changes.head; item != NULL; item = item->next) {
-        const struct table_change *change = item->data;
-
-        if (change->row.version > from.version &&
-            change->row.version <= update.to.version) {
-            g_ptr_array_add(update.changes,
-                            table_change_new(change->remove, &change->row));
-        }
-    }
+    collect_changes(core, &update);
     table_wire_pack_update(&update, out);
     table_update_clear(&update);
     return true;
@@ -125,6 +133,39 @@
     table_update_clear(&update);
 }
 
+/*
+ * Append to OUT what leads an entry daemon from FROM_VERSION to TO_VERSION:
+ * rows alone, without call epochs and answers.  Where the changes are no
+ * longer kept, or FROM_VERSION is 0, all rows as they are now.  Returns the
+ * version that it leads from, 0 for all rows; RESULT gets the one that it
+ * leads to.
+ */
+uint64_t
+table_core_rows(const struct table_core *core, uint64_t from_version,
+                uint64_t to_version, GByteArray *out, uint64_t *result)
+{
+    struct table_update update;
+    bool whole = from_version == 0 || from_version < core->changes_from ||
+                 from_version > core->position.version;
+
+    table_update_init(&update);
+    update.whole = whole;
+    update.to.version = whole ? core->position.version
+                              : MIN(to_version, core->position.version);
+    if (whole) {
+        collect_rows(core, TABLE_POOL, update.changes);
+        collect_rows(core, TABLE_ROUTE, update.changes);
+    }
+    else {
+        update.from.version = from_version;
+        collect_changes(core, &update);
+    }
+    table_wire_pack_update(&update, out);
+    *result = update.to.version;
+    table_update_clear(&update);
+    return whole ? 0 : from_version;
+}
+
 static void
 take_changes(struct table_core *core, const struct table_update *update)
 {
--- a/tests/unit/test_table.c
+++ b/tests/unit/test_table.c
@@ -322,6 +322,55 @@
     table_core_free(replica);
 }
 
+/* Lead REPLICA by rows alone; the version that the update leads from. */
+static uint64_t
+give_rows(struct table_core *replica, const struct table_core *core,
+          uint64_t from, uint64_t to, enum table_merge expected)
+{
+    GByteArray *bytes = g_byte_array_new();
+    uint64_t reached;
+    uint64_t base = table_core_rows(core, from, to, bytes, &reached);
+
+    assert_int_equal(table_core_merge(replica, bytes->data, bytes->len),
+                     expected);
+    g_byte_array_unref(bytes);
+    return base;
+}
+
+/*
+ * Rows for entry daemons fit whatever call epochs were given meanwhile, and
+ * whichever replica they come from.
+ */
+static void
+test_rows(void **state)
+{
+    struct table_core *core = table_core_new(NULL);
+    struct table_core *first = table_core_new(NULL);
+    struct table_core *second = table_core_new(NULL);
+
+    (void)state;
+    next_index = 0;
+    set_pool(core, "e1", 0, "fieldline");
+    set_epoch(core, "fieldline", 0, 7);
+    assert_int_equal(give_rows(first, core, 0, 1, TABLE_MERGED), 0);
+    set_epoch(core, "fieldline", 1, 8);
+    set_route(core, "e2", 1, "bookings", "fieldline", 80);
+    set_epoch(core, "fieldline", 2, 9);
+    set_route(core, "e3", 2, "feeds", "fieldline", 81);
+    assert_int_equal(give_rows(first, core, 1, 2, TABLE_MERGED), 1);
+    assert_int_equal(table_core_position(first).version, 2);
+    assert_int_equal(give_rows(first, core, 1, 2, TABLE_STALE), 1);
+    assert_int_equal(give_rows(second, first, 0, 2, TABLE_MERGED), 0);
+    assert_int_equal(give_rows(second, core, 2, 3, TABLE_MERGED), 2);
+    assert_int_equal(give_rows(second, first, 0, 2, TABLE_STALE), 0);
+    assert_int_equal(give_rows(first, core, 0, 3, TABLE_MERGED), 0);
+    assert_same(first, second);
+    assert_int_equal(table_core_position(second).version, 3);
+    table_core_free(core);
+    table_core_free(first);
+    table_core_free(second);
+}
+
 static void
 test_bounded_history(void **state)
 {
@@ -364,6 +413,7 @@
         cmocka_unit_test(test_retention),
         cmocka_unit_test(test_epochs),
         cmocka_unit_test(test_replica),
+        cmocka_unit_test(test_rows),
         cmocka_unit_test(test_bounded_history),
     };
 
