--- a/tests/unit/test_call_epoch.c
+++ b/tests/unit/test_call_epoch.c
@@ -329,6 +329,8 @@
     assert_int_equal(bench->messages[0].epoch, 9);
     assert_int_equal(bench->messages[0].offset, 0);
     record.epoch = 10;
+    record.offset = 0;
+    record.end = 1;
     record.incarnation = 999; /* meant for an earlier process */
     message(bench, 1, record);
     assert_int_equal(bench->messages[0].offset, 0);
@@ -357,6 +359,24 @@
     assert_false(leads(bench));
 }
 
+/* After a gap another lead may have begun what no majority had recorded. */
+static void
+test_superseded_later(void **state)
+{
+    struct bench *bench = *state;
+    struct call_event higher;
+
+    take_over(bench);
+    collected(bench, 1, 11, false);
+    collected(bench, 2, 12, false);
+    acknowledge(bench, 1, 0);
+    assert_false(request(bench, 1));
+    higher = epoch_of(bench, 8, false);
+    step(bench, &higher);
+    assert_int_equal(count(bench, CALL_ACT_HAND_ON), 1);
+    assert_int_equal(bench->out.items[0].u.hand_on.packet.released, 0);
+}
+
 /* What an earlier lead gave up is run once, whatever comes twice. */
 static void
 test_released(void **state)
@@ -399,6 +419,7 @@
         TEST(test_promise),
         TEST(test_superseded),
         TEST(test_released),
+        TEST(test_superseded_later),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -243,6 +243,12 @@
     assert_int_equal(view(bench, POOL_A, 0)->state, TARGET_DRAINING);
     announce(bench, 0, POOL_A, 1, TARGET_READY, 9 * SECOND);
     assert_int_equal(view(bench, POOL_A, 0)->state, TARGET_DRAINING);
+    bench->now += SECOND / 2; /* no fresher than messages are delayed */
+    announce(bench, 0, POOL_A, 1, TARGET_READY, 10 * SECOND);
+    assert_int_equal(view(bench, POOL_A, 0)->state, TARGET_DRAINING);
+    bench->now += SECOND;
+    announce(bench, 0, POOL_A, 1, TARGET_READY, 10 * SECOND);
+    assert_int_equal(view(bench, POOL_A, 0)->state, TARGET_READY);
     event.u.row = (struct pool_row){.id = {POOL_A},
                                     .name = "fieldline",
                                     .version = 2,
@@ -340,12 +346,13 @@
 test_flapping(void **state)
 {
     struct bench *bench = *state;
-    struct second fine = {POOL_HEALTH_OK, -1, 9, 0, 0};
-    struct second fails = {POOL_HEALTH_FAIL, -1, 9, 0, 0};
+    struct second fine = {POOL_HEALTH_OK, -1, 0, 0, 0};
+    struct second fails = {POOL_HEALTH_FAIL, -1, 0, 0, 0};
 
-    for (unsigned i = 0; i < 10; i++) {
-        live(bench, 4, 1, i % 2 == 0 ? fine : fails, 1);
+    for (unsigned i = 0; i < 10; i++) { /* twice in a row at most */
+        live(bench, 4, 1, fails, 2);
         assert_int_equal(view(bench, POOL_A, 0)->state, TARGET_READY);
+        live(bench, 4, 1, fine, 1);
     }
 }
 
