--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -55,9 +55,7 @@
     struct settings_endpoint admin;
     int64_t geneve_port;
     int64_t peer_port;
-    int64_t packet_tasks;
     int64_t max_flows;
-    int64_t max_new_flows_per_s;
     int64_t span_sample;
     int64_t span_max_mb;
     int64_t probe_interval_ms;
--- a/tests/stand-ins/fabric.c
+++ b/tests/stand-ins/fabric.c
@@ -28,7 +28,7 @@
     struct peer_proxy *peers;
     GArray *entries;     /* struct net_address */
     GHashTable *callers; /* inner address to struct net_address */
-    GHashTable *sources; /* address of a sender to struct net_udp */
+    GHashTable *sources; /* outer address to struct net_udp */
     uint64_t unknown;    /* answers for a caller never seen */
     uint64_t malformed;
     uint64_t unreachable; /* packets with every entry daemon cut off */
@@ -139,19 +139,19 @@
 }
 
 /*
- * The socket that sends with the address IP as its source, as a network does
- * that passes packets on; daemons check who sent an answer.
+ * A socket that sends from IP, since the outer source of a packet is still
+ * its sender's when it comes out of a fabric.
  */
 static struct net_udp *
 source_of(struct fabric *fabric, uint32_t ip)
 {
+    struct net_address local = {ip, 0};
     struct net_udp *udp =
         g_hash_table_lookup(fabric->sources, GUINT_TO_POINTER(ip));
-    struct net_address local = {ip, 0};
 
     if (udp == NULL) {
         udp = g_new0(struct net_udp, 1);
-        net_udp_open(fabric->path.loop, udp, local, ignore_cb, NULL);
+        net_udp_open(fabric->path.loop, udp, local, ignore_cb, fabric);
         g_hash_table_insert(fabric->sources, GUINT_TO_POINTER(ip), udp);
     }
     return udp;
@@ -310,6 +310,7 @@
     fabric.path.rules = fault_rules_new((uint32_t)options.seed);
     fabric.peers = peer_proxy_new(&fabric.path, (uint16_t)options.peer_port);
     fabric.entries = g_array_new(FALSE, FALSE, sizeof(struct net_address));
+    fabric.sources = g_hash_table_new(NULL, NULL);
     fabric.callers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     fabric.up = g_new0(struct net_udp, 1);
     fabric.down = g_new0(struct net_udp, 1);
@@ -321,7 +322,6 @@
         g_array_append_val(fabric.entries, entry);
     }
     ways_open(&fabric, options.ways);
-    fabric.sources = g_hash_table_new(NULL, NULL);
     net_udp_open(loop, fabric.up, net_parse_or_die("up", options.up), up_cb,
                  &fabric);
     net_udp_open(loop, fabric.down, net_parse_or_die("down", options.down),
