Count an answer as extra only beyond one for each sending

Runs wait until every entry daemon knows every target. Conclusion: what is counted is the balancer's doing alone.

--- a/tests/script/lib.sh
+++ b/tests/script/lib.sh
@@ -399,6 +399,7 @@
 traffic_start() { # POOL K FEEDS UPLOADS CALLS-A-SECOND ARGUMENT...
     local pool=$1 k=$2 feeds=$3 uploads=$4 calls=$5
     shift 5
+    wait_for 20 settled || give_up "daemons do not know the targets"
     caller_start "$pool-feeds" "$pool" "10.0.$k.1:443" --streams "$feeds" \
         --period-ms 200 "$@"
     caller_start "$pool-uploads" "$pool" "10.0.$k.1:80" \
@@ -454,6 +455,34 @@
     done
 }
 
+# Print a step; when it was goes to steps.log, in the ledgers' milliseconds.
 step() {
     echo "step: $*"
+    awk -v step="$*" '{ printf "%d %s\n", $1 * 1000, step }' /proc/uptime \
+        >>"$RUN_DIR/steps.log"
+}
+
+running_targets() {
+    local name count=0
+    for name in "${TARGETS[@]}"; do
+        is_running "$name" && count=$((count + 1))
+    done
+    echo "$count"
+}
+
+# Whether every entry daemon knows every target and has the same version.
+settled() {
+    local name targets version='' seen
+    targets=$(running_targets)
+    for name in "${DAEMONS[@]}"; do
+        is_running "$name" || continue
+        case ${ROLES_OF[$name]} in
+        *entry*) ;;
+        *) continue ;;
+        esac
+        seen=$(metric "$name" parsleyspur_version_in_force)
+        [ "${version:=$seen}" = "$seen" ] &&
+            [ "$(metric "$name" parsleyspur_targets)" = "$targets" ] ||
+            return 1
+    done
 }
--- a/tests/stand-ins/lib_caller_call.c
+++ b/tests/stand-ins/lib_caller_call.c
@@ -1,7 +1,8 @@
 /*
  * Calls of the callers.  A request without an answer is sent again under its
  * id; one that was refused as not run is made anew under another id, while
- * its deadline and its retries last.
+ * its deadline and its retries last.  Each sending may be answered once; one
+ * answer more than that is an extra one.
  */
 #include "lib_caller.h"
 
@@ -35,6 +36,8 @@
     bool idempotent;
     uint32_t parts;
     uint32_t answer_parts; /* one bit for each that came */
+    unsigned sendings;     /* of the request, by ourselves */
+    unsigned answers[CALL_PARTS_MAX];
     uint32_t target;
     uint64_t sent_ms;
     uint64_t deadline_ms;
@@ -59,7 +62,7 @@
 
 static void call_new(struct caller_calls *, uint64_t now_ms,
                      uint64_t deadline_ms, unsigned retries);
-static void send_request(struct caller_calls *, const struct call *,
+static void send_request(struct caller_calls *, struct call *,
                          uint64_t now_ms);
 static void settle(struct caller_calls *, struct call *, enum outcome,
                    const char *reason);
@@ -118,12 +121,12 @@
 }
 
 static void
-send_request(struct caller_calls *calls, const struct call *call,
-             uint64_t now_ms)
+send_request(struct caller_calls *calls, struct call *call, uint64_t now_ms)
 {
     struct caller *caller = calls->caller;
     uint8_t data[GENEVE_OPTION_CALL_MAX], payload[TAG_LEN_MAX];
 
+    call->sendings++;
     for (uint32_t part = 0; part < call->parts; part++) {
         struct call_option option = {
             .id = call->id,
@@ -209,12 +212,16 @@
         report(calls, "wrong_answer", call->id, packet);
         return;
     }
-    if ((call->answer_parts & bit) != 0 || call->outcome != OUTCOME_OPEN) {
+    if (call->outcome == OUTCOME_NOT_RUN) {
+        calls->extra++;
+        report(calls, "answer_after_not_run", call->id, packet);
+        return;
+    }
+    if (++call->answers[option->part] > call->sendings) {
         calls->extra++;
-        report(calls,
-               call->outcome == OUTCOME_NOT_RUN ? "answer_after_not_run"
-                                                : "extra_answer",
-               call->id, packet);
+        report(calls, "extra_answer", call->id, packet);
+    }
+    if ((call->answer_parts & bit) != 0 || call->outcome != OUTCOME_OPEN) {
         return;
     }
     call->target = tag.from;
