--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "base/hash.h"
 #include "member/spread.h"
 #include "peer/spread_wire.h"
 
@@ -35,6 +36,7 @@
 static void test_older_version(void **);
 static void test_unreachable(void **);
 static void test_status(void **);
+static void test_crossed_reports(void **);
 static void test_new_owner(void **);
 static void test_refusals(void **);
 static void test_wire(void **);
@@ -245,6 +247,45 @@
     teardown_core(&fixture);
 }
 
+/* Reports that cross on their way do not undo later ones. */
+static void
+test_crossed_reports(void **state)
+{
+    struct spread_event lead = {.kind = SPREAD_EV_LEAD};
+    struct spread_event commit = {.kind = SPREAD_EV_COMMITTED};
+    struct spread_message report = {.kind = SPREAD_REPORT, .term = 1};
+    struct fixture fixture;
+    struct spread_status status;
+
+    (void)state;
+    setup_core(&fixture, 0);
+    lead.u.lead.term = 1;
+    lead.u.lead.leading = true;
+    step(&fixture, &lead);
+    commit.u.committed.to = 1;
+    step(&fixture, &commit);
+    report.u.report.version = 1;
+    report.u.report.range =
+        (struct spread_range){view_zone_id("nadi"), 0, UINT64_MAX};
+    report.u.report.attempt = 1;
+    for (uint32_t seq = 2; seq > 0; seq--) {
+        report.u.report.seq = seq;
+        report.u.report.done = seq - 1;
+        report.u.report.done_digest = seq == 2 ? hash_pair(OTHER, 0) : 0;
+        receive(&fixture, &report);
+        if (seq == 2) {
+            assert_int_equal(find(&fixture, SPREAD_ACT_IN_FORCE)->u.in_force,
+                             1);
+            report.u.report.phase = SPREAD_FORCE;
+            receive(&fixture, &report);
+        }
+    }
+    assert_true(spread_core_status(fixture.core, 1, &status));
+    assert_int_equal(status.done, 2);
+    assert_int_equal(status.known, 2);
+    teardown_core(&fixture);
+}
+
 /* An address that another pool takes over goes down in the old pool first. */
 static void
 test_new_owner(void **state)
@@ -341,6 +382,7 @@
         cmocka_unit_test(test_older_version),
         cmocka_unit_test(test_unreachable),
         cmocka_unit_test(test_status),
+        cmocka_unit_test(test_crossed_reports),
         cmocka_unit_test(test_new_owner),
         cmocka_unit_test(test_refusals),
         cmocka_unit_test(test_wire),
