Let a joining daemon take no leads and pass its packets on

A daemon that restarts under its old name is the lead of its old pools by rendezvous hashing at once, and published maps of the few targets that had announced themselves since; it also dropped answers of targets that it did not know yet. Ruled out: the hand-over before the stop (broken flows began with the restart, not with the stop). Change: a daemon starts passive; it joins once the spread core has found its targets and version alike with a synced peer, at the latest after 2.5 s; until then packets go on to a joined peer as if the fabric had sent them there. Conclusion: readiness is a state of membership, not of time.

--- a/src/daemon/api_handlers.c
+++ b/src/daemon/api_handlers.c
@@ -72,7 +72,7 @@
 static const char *const daemon_state_names[DAEMON__MAX] = {
     [DAEMON_ALIVE] = "alive",
     [DAEMON_SUSPECT] = "suspect",
-    [DAEMON_LEAVING] = "leaving",
+    [DAEMON_LEAVING] = "passive",
     [DAEMON_DEAD] = "dead",
 };
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -9,12 +9,14 @@
 #include "daemon/control.h"
 
 #define HAND_OVER_LIMIT_US 10000000 /* longest wait for the hand-over */
+#define JOIN_LIMIT_US      2500000  /* longest wait for a synced peer */
 #define SEED_MASK          0x7fffffffffffffffULL
 
 static bool start(struct daemon *, GError **);
 static void close_all(struct daemon *);
 static void stop_cores(struct daemon *);
 static void on_tick(uv_timer_t *);
+static void advance_join(struct daemon *, uint64_t now_us);
 static void on_signal(uv_signal_t *, int);
 static void begin_stop(struct daemon *);
 static void advance_stop(struct daemon *, uint64_t now_us);
@@ -88,6 +90,7 @@
     case PEER_TABLE:
     case PEER_HANDON_FLOW:
     case PEER_HANDON_CALL:
+    case PEER_RELAY:
     case PEER_CHANNEL__MAX:
         counter_add(&daemon->counters, COUNTER_PEER_BAD_FRAMES, 1);
         break;
@@ -112,6 +115,9 @@
     case PEER_HANDON_CALL:
         daemon_call_hand_in(daemon, data, len);
         break;
+    case PEER_RELAY:
+        daemon_packet_relayed(daemon, data, len);
+        break;
     case PEER_HELLO:
     case PEER_HELLO_ANSWER:
     case PEER_SPREAD:
@@ -141,9 +147,33 @@
     daemon_packet_tick(daemon, now_us);
     daemon_call_event(daemon, &call);
     daemon_api_tick(daemon, now_us);
+    advance_join(daemon, now_us);
     advance_stop(daemon, now_us);
 }
 
+/*
+ * Join once targets and version are those of a peer.  A daemon without peers
+ * joins at once; where no peer is synced, as when all start together, the
+ * wait is bounded.
+ */
+static void
+advance_join(struct daemon *daemon, uint64_t now_us)
+{
+    bool alone = daemon->settings->peer_count == 0;
+
+    if (daemon->joined || !daemon->settings->entry) {
+        return;
+    }
+    if (!alone && !spread_core_synced(daemon->spread) &&
+        now_us - daemon->started_us < JOIN_LIMIT_US) {
+        return;
+    }
+    daemon->joined = true;
+    spread_core_set_synced(daemon->spread);
+    daemon_member_joined(daemon);
+    log_state(G_LOG_LEVEL_MESSAGE, "joined", NULL);
+}
+
 /* The first signal begins a planned stop, a second ends the daemon at once. */
 static void
 on_signal(uv_signal_t *handle, int number)
@@ -279,6 +309,7 @@
     daemon->settings = settings;
     daemon->self = view_daemon_id(settings->name);
     daemon->zone = view_zone_id(settings->zone);
+    daemon->started_us = daemon_now_us();
     daemon->incarnation = (uint64_t)(g_get_real_time() / 1000);
     daemon->seed =
         settings->seed != 0
--- a/src/daemon/daemon_member.c
+++ b/src/daemon/daemon_member.c
@@ -11,7 +11,7 @@
 static const char *const state_names[DAEMON__MAX] = {
     [DAEMON_ALIVE] = "alive",
     [DAEMON_SUSPECT] = "suspect",
-    [DAEMON_LEAVING] = "leaving",
+    [DAEMON_LEAVING] = "passive",
     [DAEMON_DEAD] = "dead",
 };
 
@@ -30,6 +30,7 @@
         .incarnation = daemon->incarnation,
         .entry = settings->entry,
         .control = settings->control,
+        .joining = settings->entry,
         .seeds = seeds,
         .seed = daemon->seed,
     };
@@ -111,6 +112,15 @@
     step(daemon, &event);
 }
 
+/* Tell the peers that this daemon may take leads. */
+void
+daemon_member_joined(struct daemon *daemon)
+{
+    struct member_event event = {.kind = MEMBER_EV_JOINED};
+
+    step(daemon, &event);
+}
+
 /* Tell the peers of a planned stop; LAST just before the process ends. */
 void
 daemon_member_leave(struct daemon *daemon, bool last)
--- a/src/daemon/daemon_packet.c
+++ b/src/daemon/daemon_packet.c
@@ -22,6 +22,8 @@
 static void alloc_packets(uv_handle_t *, size_t, uv_buf_t *);
 static void on_packet(uv_udp_t *, ssize_t, const uv_buf_t *,
                       const struct sockaddr *, unsigned);
+static bool relay(struct daemon *, const uint8_t *, size_t,
+                  const struct sockaddr_in *);
 static bool decode(struct daemon *, const uint8_t *, size_t, struct passage *);
 static void pass(struct daemon *, const struct passage *);
 static void hand_on(struct daemon *, const struct passage *,
@@ -126,6 +128,54 @@
     return true;
 }
 
+/*
+ * While this daemon is joining it does not know the pools' targets: give the
+ * packet to a peer that has joined, as if the fabric had sent it there.
+ * False if there is none.
+ */
+static bool
+relay(struct daemon *daemon, const uint8_t *data, size_t len,
+      const struct sockaddr_in *outer)
+{
+    uint32_t source = outer->sin_addr.s_addr, address = 0;
+    size_t count;
+    const struct daemon_view *views =
+        member_core_daemons(daemon->member, &count);
+
+    for (size_t i = 0; i < count && address == 0; i++) {
+        if (views[i].entry && views[i].state == DAEMON_ALIVE &&
+            views[i].id.value != daemon->self.value) {
+            address = views[i].address;
+        }
+    }
+    if (address == 0) {
+        return false;
+    }
+    counter_add(&daemon->counters, COUNTER_PACKETS_HANDED_ON, 1);
+    return mesh_send_datagram(daemon->mesh, address, PEER_RELAY,
+                              (const uint8_t *)&source, sizeof(source), data,
+                              len);
+}
+
+/* Take in a packet that a joining peer got from the fabric. */
+void
+daemon_packet_relayed(struct daemon *daemon, const uint8_t *data, size_t len)
+{
+    struct passage passage;
+    uint32_t source;
+
+    if (len < sizeof(source)) {
+        counter_add(&daemon->counters, COUNTER_PEER_BAD_FRAMES, 1);
+        return;
+    }
+    memcpy(&source, data, sizeof(source));
+    if (decode(daemon, data + sizeof(source), len - sizeof(source),
+               &passage)) {
+        passage.flow.outer_src = ntohl(source);
+        pass(daemon, &passage);
+    }
+}
+
 static void
 on_packet(uv_udp_t *udp, ssize_t len, const uv_buf_t *buffer,
           const struct sockaddr *from, unsigned flags)
@@ -138,6 +188,10 @@
     if (len <= 0 || from == NULL) {
         return;
     }
+    if (!daemon->joined &&
+        relay(daemon, (const uint8_t *)buffer->base, (size_t)len, outer)) {
+        return;
+    }
     if (!decode(daemon, (const uint8_t *)buffer->base, (size_t)len,
                 &passage)) {
         return;
--- a/src/daemon/daemon_private.h
+++ b/src/daemon/daemon_private.h
@@ -63,6 +63,8 @@
     uv_signal_t sigint;
     enum daemon_phase phase;
     uint64_t phase_since_us;
+    uint64_t started_us;
+    bool joined; /* knows what a lead must know; packets are its own */
     bool flows_handed_over;
     bool calls_handed_over;
 
@@ -105,6 +107,7 @@
 void daemon_member_start(struct daemon *);
 void daemon_member_tick(struct daemon *, uint64_t now_us);
 void daemon_member_datagram(struct daemon *, const uint8_t *, size_t);
+void daemon_member_joined(struct daemon *);
 void daemon_member_leave(struct daemon *, bool last);
 void daemon_member_stop(struct daemon *);
 
@@ -137,6 +140,7 @@
 void daemon_packet_tick(struct daemon *, uint64_t now_us);
 void daemon_packet_event(struct daemon *, const struct flow_event *);
 void daemon_packet_hand_in(struct daemon *, const uint8_t *, size_t);
+void daemon_packet_relayed(struct daemon *, const uint8_t *, size_t);
 void daemon_packet_message(struct daemon *, struct daemon_id from,
                            const uint8_t *, size_t);
 bool daemon_packet_send(struct daemon *, uint32_t address, uint16_t port,
--- a/src/member/member.c
+++ b/src/member/member.c
@@ -13,6 +13,7 @@
 static void on_tick(struct member_core *);
 static void on_message(struct member_core *, uint32_t,
                        const struct member_message *);
+static void on_joined(struct member_core *);
 static void on_leave(struct member_core *, bool left);
 
 /* Replace each member that is 0 by its documented default. */
@@ -85,6 +86,7 @@
     core->view = g_array_new(FALSE, TRUE, sizeof(struct daemon_view));
     core->seq = g_rand_int(core->rand) >> 1;
     add_self(core);
+    core->self->record.leaving = options->joining;
     core->options.name = core->self->record.name;
     core->options.zone = core->self->record.zone;
     core->options.cluster = NULL;
@@ -199,6 +201,19 @@
     member_burst(core);
 }
 
+/* Say that this daemon may take leads. */
+static void
+on_joined(struct member_core *core)
+{
+    if (!core->self->record.leaving ||
+        core->self->record.status == MEMBER_LEFT) {
+        return;
+    }
+    core->self->record.leaving = false;
+    member_raise_incarnation(core, core->self->record.incarnation);
+    member_burst(core);
+}
+
 /*
  * Take EVENT in at NOW_US, a monotonic clock.  Appends what is to be done to
  * OUT, which the caller empties.
@@ -219,6 +234,9 @@
         on_message(core, event->u.message.from_address,
                    event->u.message.message);
         break;
+    case MEMBER_EV_JOINED:
+        on_joined(core);
+        break;
     case MEMBER_EV_LEAVE:
     case MEMBER_EV_LEFT:
         on_leave(core, event->kind == MEMBER_EV_LEFT);
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -28,7 +28,7 @@
     uint64_t incarnation; /* only the daemon itself raises it */
     enum member_status status;
     uint32_t age_s; /* since it died or left */
-    bool leaving;
+    bool leaving;   /* takes no leads: it is joining, or ends by plan */
     bool entry;
     bool control;
 };
@@ -76,6 +76,7 @@
     uint64_t incarnation; /* start time in ms, by the daemon's wall clock */
     bool entry;
     bool control;
+    bool joining;          /* takes no leads until MEMBER_EV_JOINED */
     const uint32_t *seeds; /* addresses of some daemons; copied */
     size_t seed_count;
     uint64_t seed; /* of the core's own random numbers */
@@ -93,8 +94,9 @@
 enum member_event_kind {
     MEMBER_EV_TICK,
     MEMBER_EV_MESSAGE,
-    MEMBER_EV_LEAVE, /* a planned stop has begun */
-    MEMBER_EV_LEFT,  /* the last word before the process ends */
+    MEMBER_EV_JOINED, /* what a lead must know is known */
+    MEMBER_EV_LEAVE,  /* a planned stop has begun */
+    MEMBER_EV_LEFT,   /* the last word before the process ends */
     MEMBER_EVENT__MAX
 };
 
--- a/src/member/spread.h
+++ b/src/member/spread.h
@@ -100,6 +100,8 @@
         struct {
             uint32_t count;
             uint64_t digest;
+            bool echo;   /* send yours back, also if alike */
+            bool synced; /* the sender was once alike with a peer */
         } digest;
         struct {
             uint32_t bits; /* two to BITS buckets */
@@ -247,6 +249,12 @@
 
 uint64_t spread_core_staged(const struct spread_core *);
 uint64_t spread_core_active(const struct spread_core *);
+/*
+ * Whether targets and version were once found to be those of a peer that was
+ * synced itself; or set, where all daemons start at once or there is no peer.
+ */
+bool spread_core_synced(const struct spread_core *);
+void spread_core_set_synced(struct spread_core *);
 bool spread_core_caught_up(const struct spread_core *);
 size_t spread_core_unreachable_zones(const struct spread_core *,
                                      uint32_t *zones, size_t max);
--- a/src/member/spread_priv.h
+++ b/src/member/spread_priv.h
@@ -91,6 +91,7 @@
     uint64_t staged, active;
     GArray *boundaries; /* versions staged above ACTIVE, in order */
     bool peer_heard;
+    bool synced;       /* once found alike with a peer */
     bool view_changed; /* since the leader last looked */
     uint64_t reopen_us, need_us, fetch_us, sync_us, batch_us, refresh_us,
         expiry_us, look_us;
--- a/src/member/spread_sync.c
+++ b/src/member/spread_sync.c
@@ -9,14 +9,15 @@
 
 #include "base/hash.h"
 
-#define TARGETS_PER_BUCKET 8u /* how fine the digests are that are sent */
+#define JOIN_SYNC_MS       250 /* between comparisons until one is alike */
+#define TARGETS_PER_BUCKET 8u  /* how fine the digests are that are sent */
 
 static uint64_t whole_digest(const struct spread_core *);
 static unsigned bucket_bits(const struct spread_core *);
 static uint32_t folded_digest(const struct spread_core *, unsigned bits,
                               unsigned bucket);
 static struct daemon_id random_peer(struct spread_core *);
-static void send_digest(struct spread_core *, struct daemon_id);
+static void send_digest(struct spread_core *, struct daemon_id, bool echo);
 static void send_stamps(struct spread_core *, struct daemon_id, unsigned bits,
                         unsigned bucket, GArray *stamps, bool request);
 static void send_newer(struct spread_core *, struct daemon_id,
@@ -81,15 +82,29 @@
 }
 
 static void
-send_digest(struct spread_core *core, struct daemon_id to)
+send_digest(struct spread_core *core, struct daemon_id to, bool echo)
 {
     struct spread_message message = spread_start(core, SPREAD_DIGEST);
 
     message.u.digest.count = core->target_count;
     message.u.digest.digest = whole_digest(core);
+    message.u.digest.echo = echo;
+    message.u.digest.synced = core->synced;
     spread_send(core, to, &message);
 }
 
+bool
+spread_core_synced(const struct spread_core *core)
+{
+    return core->synced;
+}
+
+void
+spread_core_set_synced(struct spread_core *core)
+{
+    core->synced = true;
+}
+
 void
 spread_sync_tick(struct spread_core *core)
 {
@@ -98,11 +113,13 @@
     if (core->now_us < core->sync_us || !core->options.entry) {
         return;
     }
-    core->sync_us = core->now_us + core->options.sync_interval_ms * US_PER_MS;
+    core->sync_us = core->now_us +
+                    US_PER_MS * (core->synced ? core->options.sync_interval_ms
+                                              : JOIN_SYNC_MS);
     peer = random_peer(core);
     if (peer.value != 0 && peer.value != core->options.self.value) {
         core->counters.syncs++;
-        send_digest(core, peer);
+        send_digest(core, peer, !core->synced);
     }
 }
 
@@ -114,12 +131,16 @@
     struct spread_message reply = spread_start(core, SPREAD_DIGESTS);
     bool differs = message->u.digest.digest != whole_digest(core);
 
-    if (!differs && message->active >= reply.active &&
-        message->term >= core->term) {
+    if (!differs && message->u.digest.synced &&
+        message->active <= reply.active) {
+        core->synced = true;
+    }
+    if (!differs && !message->u.digest.echo &&
+        message->active >= reply.active && message->term >= core->term) {
         return;
     }
     if (!differs) {
-        send_digest(core, from);
+        send_digest(core, from, false);
         return;
     }
     reply.u.digests.bits = bucket_bits(core);
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -26,6 +26,7 @@
     PEER_CALL,
     PEER_HANDON_FLOW,
     PEER_HANDON_CALL,
+    PEER_RELAY, /* a packet that came to a daemon which is still joining */
     PEER_CHANNEL__MAX
 };
 
--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -299,7 +299,8 @@
     memcpy(start + 2, &cluster, sizeof(cluster));
     memcpy(start + 6, &self, sizeof(self));
     mesh_sockaddr(mesh_way_to(mesh, address), &to);
-    if (channel == PEER_HANDON_FLOW || channel == PEER_HANDON_CALL) {
+    if (channel == PEER_HANDON_FLOW || channel == PEER_HANDON_CALL ||
+        channel == PEER_RELAY) {
         counter_add(mesh->counters, COUNTER_PEER_HANDON_BYTES_OUT,
                     sizeof(start) + head_len + body_len);
     }
--- a/src/peer/spread.pb-c.c
+++ b/src/peer/spread.pb-c.c
@@ -1267,7 +1267,7 @@
   (ProtobufCMessageInit) parsleyspur__spread_refresh__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__spread_digest__field_descriptors[2] =
+static const ProtobufCFieldDescriptor parsleyspur__spread_digest__field_descriptors[4] =
 {
   {
     "count",
@@ -1293,15 +1293,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "echo",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__SpreadDigest, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "synced",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__SpreadDigest, synced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__spread_digest__field_indices_by_name[] = {
   0,   /* field[0] = count */
   1,   /* field[1] = digest */
+  2,   /* field[2] = echo */
+  3,   /* field[3] = synced */
 };
 static const ProtobufCIntRange parsleyspur__spread_digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor parsleyspur__spread_digest__descriptor =
 {
@@ -1311,7 +1337,7 @@
   "Parsleyspur__SpreadDigest",
   "parsleyspur",
   sizeof(Parsleyspur__SpreadDigest),
-  2,
+  4,
   parsleyspur__spread_digest__field_descriptors,
   parsleyspur__spread_digest__field_indices_by_name,
   1,  parsleyspur__spread_digest__number_ranges,
--- a/src/peer/spread.pb-c.h
+++ b/src/peer/spread.pb-c.h
@@ -163,10 +163,18 @@
   ProtobufCMessage base;
   uint32_t count;
   uint64_t digest;
+  /*
+   * send yours back, also if alike
+   */
+  protobuf_c_boolean echo;
+  /*
+   * the sender has once been found alike with a peer
+   */
+  protobuf_c_boolean synced;
 };
 #define PARSLEYSPUR__SPREAD_DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__spread_digest__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Parsleyspur__SpreadDigests
--- a/src/peer/spread_wire.c
+++ b/src/peer/spread_wire.c
@@ -219,6 +219,8 @@
     else if (message->kind == SPREAD_DIGEST) {
         digest.count = message->u.digest.count;
         digest.digest = message->u.digest.digest;
+        digest.echo = message->u.digest.echo;
+        digest.synced = message->u.digest.synced;
         wire->body_case = PARSLEYSPUR__SPREAD_MESSAGE__BODY_DIGEST;
         wire->digest = &digest;
     }
@@ -441,6 +443,8 @@
         out->kind = SPREAD_DIGEST;
         out->u.digest.count = wire->digest->count;
         out->u.digest.digest = wire->digest->digest;
+        out->u.digest.echo = wire->digest->echo;
+        out->u.digest.synced = wire->digest->synced;
         return true;
     case PARSLEYSPUR__SPREAD_MESSAGE__BODY_DIGESTS:
         return read_digests(wire->digests, out);
