--- a/src/flow/flow_message.h
+++ b/src/flow/flow_message.h
@@ -42,7 +42,8 @@
     struct pool_id pool;
     uint64_t epoch;      /* of the lead's term */
     uint64_t prev_epoch; /* MAP: from_seq is of this epoch */
-    uint64_t from_seq;   /* MAP */
+    uint64_t from_seq;   /* MAP; GRANT: microseconds in which unknown UDP
+                            flows may be old ones */
     uint64_t seq;        /* MAP, MAP_ACK; ROUTES: version */
     uint64_t stream;     /* COPY, COPY_ACK, GRANT: id of the copy */
     uint64_t position;   /* COPY, COPY_ACK, GRANT: in records */
--- a/src/flow/flow_term.c
+++ b/src/flow/flow_term.c
@@ -157,6 +157,9 @@
     grant->epoch = pool->grant_epoch;
     grant->prev_epoch = pool->epoch;
     grant->seq = pool->seq;
+    if (pool->udp_known_us > core->now_us) {
+        grant->from_seq = pool->udp_known_us - core->now_us;
+    }
     grant->stream = pool->grant_stream;
     grant->share = pool->grant_complete;
     grant->position = pool->grant_position;
@@ -241,6 +244,7 @@
         return;
     }
     begin(core, pool, message->epoch, 0);
+    pool->udp_known_us = core->now_us + message->from_seq;
     if (message->share != 0) {
         pool->complete_us = 0;
     }
