--- a/bench/flow_fleet_run.h
+++ b/bench/flow_fleet_run.h
@@ -35,6 +35,7 @@
     event->flow = index;
     event->target = target;
     event->flags = flags;
+    event->life = fleet->targets[target].view.key.incarnation;
 }
 
 /* The flow is, or may become, one of the target TO. */
@@ -118,9 +119,14 @@
 {
     struct fleet_flow *flow = fleet_flow_at(fleet, event->flow);
 
+    uint32_t from = event->packet.outer_src - FLEET_ADDRESS;
+
+    if (fleet->targets[from].view.key.incarnation != event->target) {
+        return; /* from before the target's restart */
+    }
     flow->unanswered = 0;
     if (flow->state == FLEET_FLOW_OPENING) {
-        fleet_set_target(fleet, flow, event->packet.outer_src - FLEET_ADDRESS);
+        fleet_set_target(fleet, flow, from);
         flow->state = FLEET_FLOW_OPEN;
         flow->opened_us = fleet->now;
     }
@@ -154,6 +160,7 @@
         next->life = fleet->daemons[peer].life;
         next->flow = event->flow;
         next->flags = event->flags;
+        next->target = event->target;
         next->packet = event->packet;
         next->packet.hops = verdict.hops;
         next->packet.pool = verdict.pool;
@@ -184,7 +191,8 @@
     uint32_t daemon = fleet_any_daemon(fleet);
     struct fleet_event *next;
 
-    if (daemon == UINT32_MAX || !fleet->targets[event->target].alive) {
+    if (daemon == UINT32_MAX || !fleet->targets[event->target].alive ||
+        fleet->targets[event->target].view.key.incarnation != event->life) {
         return;
     }
     next = fleet_at(fleet, fleet->now, FLEET_PACKET);
@@ -198,6 +206,7 @@
     next->packet.dst_port = flow->port;
     next->packet.protocol = flow->protocol;
     next->packet.tcp_flags = event->flags;
+    next->target = event->life;
     next->packet.outer_src = fleet->targets[event->target].view.key.address;
 }
 
