Tell a new lead which slots the old one still uses

Cause: at a planned stop under 85% load the new lead took all slots for free; targets refused, and the retry budget of a new lead was empty. Two leads could also send one idempotent call to one target under the same attempt number.

--- a/bench/balance_sim.h
+++ b/bench/balance_sim.h
@@ -25,6 +25,8 @@
 #define STALE_US       1000000 /* age of the load that two choices see */
 #define TICK_US        50000
 #define SERVICE_US     100000.0
+#define VIEW_EVERY_US  25000    /* between daemons that learn of a stop */
+#define DRAIN_US       40000000 /* after the last request */
 #define START_US       1000000
 #define TARGET_ADDRESS 0x0a000001
 #define POOL           77
@@ -45,6 +47,7 @@
 
 enum policy {
     POLICY_CORE,
+    POLICY_STOP, /* the core, and its lead stops in the middle */
     POLICY_IDEAL,
     POLICY_RANDOM,
     POLICY_TWO_CHOICES,
@@ -53,8 +56,11 @@
 };
 
 static const char *const policy_names[POLICY__MAX] = {
-    [POLICY_CORE] = "",          [POLICY_IDEAL] = "_ideal",
-    [POLICY_RANDOM] = "_random", [POLICY_TWO_CHOICES] = "_two_choices",
+    [POLICY_CORE] = "",
+    [POLICY_STOP] = "_planned_stop",
+    [POLICY_IDEAL] = "_ideal",
+    [POLICY_RANDOM] = "_random",
+    [POLICY_TWO_CHOICES] = "_two_choices",
     [POLICY_MODULO] = "_modulo",
 };
 
@@ -67,6 +73,8 @@
     EVENT_START,   /* a request at its target */
     EVENT_FINISH,  /* the service ends */
     EVENT_REFRESH, /* of the load that two choices see */
+    EVENT_STOP,    /* the lead stops by plan */
+    EVENT_VIEW,    /* a daemon learns of it */
 };
 
 struct event {
--- a/src/call/call_answer.c
+++ b/src/call/call_answer.c
@@ -6,7 +6,8 @@
 
 #define REFUSED_REST_US 20000 /* a target that refused gets no call so long */
 
-static enum call_reason mismatch(const struct call_pool *, const struct call *,
+static enum call_reason mismatch(const struct call_core *,
+                                 const struct call_pool *, const struct call *,
                                  const struct call_packet *);
 static void answered(struct call_step *, struct call_pool *, struct call *,
                      struct call_attempt *, const struct call_packet *);
@@ -17,13 +18,16 @@
 
 /* Why PACKET does not belong to CALL; CALL_REASON__MAX if it does. */
 static enum call_reason
-mismatch(const struct call_pool *pool, const struct call *call,
-         const struct call_packet *packet)
+mismatch(const struct call_core *core, const struct call_pool *pool,
+         const struct call *call, const struct call_packet *packet)
 {
-    uint32_t number = packet->option.attempt;
+    unsigned mask = (1U << CALL_ATTEMPT_BITS) - 1;
+    unsigned number = packet->option.attempt & mask;
     const struct call_attempt *attempt;
 
-    if (number == 0 || number > call->attempt_count) {
+    if (number == 0 || number > call->attempt_count ||
+        packet->option.attempt !=
+            call_attempt_number(core, call, number - 1)) {
         return CALL_REASON_WRONG_ATTEMPT;
     }
     attempt = call->attempts[number - 1];
@@ -42,7 +46,9 @@
 match(struct call_step *step, struct call_pool *pool, struct call *call,
       const struct call_packet *packet)
 {
-    struct call_attempt *attempt = call->attempts[packet->option.attempt - 1];
+    unsigned mask = (1U << CALL_ATTEMPT_BITS) - 1;
+    struct call_attempt *attempt =
+        call->attempts[(packet->option.attempt & mask) - 1];
 
     switch (packet->option.kind) {
     case CALL_ANSWER:
@@ -100,7 +106,7 @@
     struct call_packet further = *packet;
 
     if (call != NULL && call->attempt_count > 0) {
-        reason = mismatch(pool, call, packet);
+        reason = mismatch(step->core, pool, call, packet);
     }
     if (reason == CALL_REASON__MAX) {
         match(step, pool, call, packet);
@@ -162,7 +168,8 @@
         slot->evidence.answered++;
     }
     call_attempt_close(pool, attempt);
-    call->answered_by = option->attempt - 1;
+    call->answered_by =
+        (option->attempt & ((1U << CALL_ATTEMPT_BITS) - 1)) - 1;
     learn_latency(pool, (double)(step->now_us - attempt->sent_us));
     step->core->counters.answered++;
     call_attempts_end(step, pool, call, true, false);
--- a/src/call/call_change.c
+++ b/src/call/call_change.c
@@ -65,6 +65,7 @@
     if (before.value != self || lead.value == 0) {
         return;
     }
+    pool->heir = lead;
     pass_on(step, pool);
 }
 
@@ -91,6 +92,9 @@
     bool passes = to.value != step->core->options.self.value &&
                   call_daemon_serves(step->core, to);
 
+    if (passes) {
+        pool->heir = to;
+    }
     while (link != NULL) {
         struct call *call = link->data;
 
--- a/src/call/call_core.c
+++ b/src/call/call_core.c
@@ -1,8 +1,12 @@
 /* The call core: its state, and the way of each event to its handler. */
 #include "call/call_internal.h"
 
+#include "base/hash.h"
+
 #include <string.h>
 
+#define ATTEMPT_TAG_MASK 0xffffU
+
 #define EVIDENCE_EVERY_US 1000000
 #define STOP_LEAD_US      5000000 /* for a new lead to take over */
 #define STOP_LINGER_US    1000000 /* while peers may still hand packets on */
@@ -82,6 +86,9 @@
     TAKE_DEFAULT(seed)
     core->options.attempts_max =
         MIN(core->options.attempts_max, CALL_ATTEMPTS_MAX);
+    core->attempt_tag = (uint32_t)hash_pair(core->options.self.value,
+                                            core->options.incarnation) &
+                        ATTEMPT_TAG_MASK;
     core->pools = g_array_new(FALSE, FALSE, sizeof(struct call_pool *));
     core->daemons = g_array_new(FALSE, FALSE, sizeof(struct daemon_view));
     core->trash =
@@ -209,6 +216,7 @@
     }
     pool = call_pool_new(id);
     pool->view_lead = view_lead_of(core, id);
+    pool->tokens = (uint64_t)core->options.retry_percent * 100;
     g_array_insert_val(core->pools, place, pool);
     return pool;
 }
@@ -262,6 +270,7 @@
     }
     call_dispatch(step, pool);
     call_record_flush(step, pool);
+    call_load_tell(step, pool, false);
 }
 
 static void
@@ -320,6 +329,7 @@
 
         call_log_expire(&pool->log, step->now_us);
         call_epoch_tick(step, pool);
+        call_load_tell(step, pool, true);
         call_lead_tick(step, pool);
         call_tick(step, pool);
         finish(step, pool);
--- a/src/call/call_internal.h
+++ b/src/call/call_internal.h
@@ -6,7 +6,8 @@
 
 #include "call/call.h"
 
-#define CALL_ATTEMPTS_MAX 8          /* of one call, whatever is set */
+#define CALL_ATTEMPTS_MAX 8 /* of one call, whatever is set */
+#define CALL_ATTEMPT_BITS 4 /* of an attempt's number; the rest is a tag */
 #define CALL_OFFSET_NONE  UINT64_MAX /* not recorded in the present log */
 
 enum call_state {
@@ -64,6 +65,8 @@
 struct call_slot {
     struct target_view view;
     uint32_t used;
+    uint32_t foreign; /* used by the lead before, as it tells */
+    uint64_t foreign_until_us;
     uint64_t rest_until_us; /* it has just refused */
     uint64_t last_used;     /* sequence of its last call */
     struct call_evidence evidence;
@@ -143,6 +146,8 @@
     double latency_deviation_us;
     struct daemon_id view_lead;
     struct daemon_id former;
+    struct daemon_id heir; /* lead after this one, told of the slots in use */
+    uint32_t heir_told;    /* slots, when last told */
     struct call_epoch current; /* highest epoch heard of */
     uint64_t promised;         /* records of lower epochs are refused */
     struct call_log log;
@@ -157,6 +162,7 @@
     GPtrArray *trash; /* bytes that actions may still point to */
     GPtrArray *messages;
     uint64_t sequence;
+    uint32_t attempt_tag; /* tells this process's attempts from others' */
     uint64_t next_evidence_us;
     uint64_t last_step_us;
     uint64_t stalled_until_us; /* requests till then are of unknown age */
@@ -238,6 +244,8 @@
 
 /* call_send.c */
 void call_dispatch(struct call_step *, struct call_pool *);
+uint32_t call_attempt_number(const struct call_core *, const struct call *,
+                             unsigned index);
 void call_attempts_end(struct call_step *, struct call_pool *, struct call *,
                        bool cancel, bool unanswered);
 void call_attempt_close(struct call_pool *, struct call_attempt *);
@@ -247,6 +255,11 @@
                 enum call_reason);
 void call_tick(struct call_step *, struct call_pool *);
 
+/* call_load.c */
+void call_load_tell(struct call_step *, struct call_pool *, bool again);
+void call_load_told(struct call_step *, struct call_pool *,
+                    const struct call_message *);
+
 /* call_answer.c */
 void call_answer(struct call_step *, struct call_pool *,
                  const struct call_packet *);
--- a/src/call/call_member.c
+++ b/src/call/call_member.c
@@ -126,6 +126,9 @@
     case CALL_MSG_COLLECT_ACK:
         call_collect_ack(step, pool, from, message);
         break;
+    case CALL_MSG_LOAD:
+        call_load_told(step, pool, message);
+        break;
     case CALL_MSG__MAX:
         break;
     }
--- a/src/call/call_message.h
+++ b/src/call/call_message.h
@@ -36,6 +36,7 @@
     CALL_MSG_RECORD_ACK,  /* OFFSET: entries held; EPOCH: highest promised */
     CALL_MSG_COLLECT,     /* new lead to member of the PREVIOUS epoch */
     CALL_MSG_COLLECT_ACK, /* entries from OFFSET on, of TOTAL */
+    CALL_MSG_LOAD, /* slots in use: id holds the target, caller the count */
     CALL_MSG__MAX
 };
 
--- a/src/call/call_pool.c
+++ b/src/call/call_pool.c
@@ -166,12 +166,24 @@
     return false;
 }
 
+/* Slots in use, by this daemon and by the lead before it. */
+static uint32_t
+in_use(const struct call_step *step, const struct call_slot *slot)
+{
+    bool told = step->now_us < slot->foreign_until_us;
+
+    return slot->used + (told ? slot->foreign : 0);
+}
+
 /* True if A is to be taken rather than B: less loaded, or idle for longer. */
 static bool
-is_better(const struct call_slot *a, const struct call_slot *b)
+is_better(const struct call_step *step, const struct call_slot *a,
+          const struct call_slot *b)
 {
-    uint64_t load_a = (uint64_t)(a->used + 1) * b->view.weight * b->view.slots;
-    uint64_t load_b = (uint64_t)(b->used + 1) * a->view.weight * a->view.slots;
+    uint64_t load_a =
+        (uint64_t)(in_use(step, a) + 1) * b->view.weight * b->view.slots;
+    uint64_t load_b =
+        (uint64_t)(in_use(step, b) + 1) * a->view.weight * a->view.slots;
 
     if (load_a != load_b) {
         return load_a < load_b;
@@ -201,11 +213,11 @@
             continue;
         }
         others = others || !tried;
-        if (slot->used >= slots_now(slot) ||
+        if (in_use(step, slot) >= slots_now(slot) ||
             step->now_us < slot->rest_until_us) {
             continue;
         }
-        if (*place == NULL || is_better(slot, *place)) {
+        if (*place == NULL || is_better(step, slot, *place)) {
             *place = slot;
         }
     }
--- a/src/call/call_send.c
+++ b/src/call/call_send.c
@@ -20,6 +20,19 @@
     return (uint32_t)(left / MICROSECONDS_PER_MS) + 1;
 }
 
+/*
+ * The number of an attempt on the wire.  Two leads may send one idempotent
+ * call: a tag keeps their attempts apart.
+ */
+uint32_t
+call_attempt_number(const struct call_core *core, const struct call *call,
+                    unsigned index)
+{
+    uint32_t tag = call->idempotent ? core->attempt_tag : 0;
+
+    return tag << CALL_ATTEMPT_BITS | (index + 1);
+}
+
 static struct call_datagram
 target_datagram(const struct call_step *step, const struct call_pool *pool,
                 const struct call *call, unsigned index)
@@ -38,7 +51,7 @@
         .option =
             {
                 .id = call->key.id,
-                .attempt = index + 1,
+                .attempt = call_attempt_number(step->core, call, index),
                 .deadline_ms = call->deadline_us > step->now_us
                                    ? deadline_left_ms(step, call)
                                    : 1,
--- a/src/peer/call.pb-c.c
+++ b/src/peer/call.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &parsleyspur__call_hand_on__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCEnumValue parsleyspur__call_message__kind__enum_values_by_number[6] =
+static const ProtobufCEnumValue parsleyspur__call_message__kind__enum_values_by_number[7] =
 {
   { "HELLO", "PARSLEYSPUR__CALL_MESSAGE__KIND__HELLO", 0 },
   { "HELLO_ACK", "PARSLEYSPUR__CALL_MESSAGE__KIND__HELLO_ACK", 1 },
@@ -105,16 +105,18 @@
   { "RECORD_ACK", "PARSLEYSPUR__CALL_MESSAGE__KIND__RECORD_ACK", 3 },
   { "COLLECT", "PARSLEYSPUR__CALL_MESSAGE__KIND__COLLECT", 4 },
   { "COLLECT_ACK", "PARSLEYSPUR__CALL_MESSAGE__KIND__COLLECT_ACK", 5 },
+  { "LOAD", "PARSLEYSPUR__CALL_MESSAGE__KIND__LOAD", 6 },
 };
 static const ProtobufCIntRange parsleyspur__call_message__kind__value_ranges[] = {
-{0, 0},{0, 6}
+{0, 0},{0, 7}
 };
-static const ProtobufCEnumValueIndex parsleyspur__call_message__kind__enum_values_by_name[6] =
+static const ProtobufCEnumValueIndex parsleyspur__call_message__kind__enum_values_by_name[7] =
 {
   { "COLLECT", 4 },
   { "COLLECT_ACK", 5 },
   { "HELLO", 0 },
   { "HELLO_ACK", 1 },
+  { "LOAD", 6 },
   { "RECORD", 2 },
   { "RECORD_ACK", 3 },
 };
@@ -125,9 +127,9 @@
   "Kind",
   "Parsleyspur__CallMessage__Kind",
   "parsleyspur",
-  6,
+  7,
   parsleyspur__call_message__kind__enum_values_by_number,
-  6,
+  7,
   parsleyspur__call_message__kind__enum_values_by_name,
   1,
   parsleyspur__call_message__kind__value_ranges,
--- a/tests/property/prop_call.cc
+++ b/tests/property/prop_call.cc
@@ -48,6 +48,7 @@
 };
 
 static const std::vector<Found> found = {
+    {{false, false}, 77099, {191984, 561365, 1742401}},
     {{false, false},
      121020,
      {75268, 65937, 386210, 243775, 211093, 51075, 490371, 233146, 23653,
--- a/tests/property/prop_call_world.h
+++ b/tests/property/prop_call_world.h
@@ -32,6 +32,7 @@
 const unsigned DAEMONS = 4;
 const unsigned TARGETS = 4; /* two for each pool */
 const unsigned POOLS = 2;
+const unsigned SLOTS = 2;
 const uint32_t TARGET_BASE = 0x0a000001;
 
 using Key = std::tuple<unsigned, uint32_t, uint64_t>; /* pool, caller, id */
@@ -67,6 +68,7 @@
 
 struct Target {
     unsigned mode = 0;
+    unsigned running = 0; /* calls at work */
     std::map<Attempt, std::set<uint32_t>> parts;
     std::set<Attempt> seen;
 };
