--- a/tests/property/prop_quorum.cc
+++ b/tests/property/prop_quorum.cc
@@ -9,6 +9,7 @@
 #include <rapidcheck.h>
 
 #include "quorum_world.h"
+#include "quorum_world_check.h"
 #include "quorum_world_impl.h"
 
 namespace rc {
@@ -74,7 +75,7 @@
 {
     bool passed;
 
-    setenv("RC_PARAMS", "max_success=10000 max_size=40 seed=20261204", 0);
+    setenv("RC_PARAMS", "max_success=10000 max_size=120 seed=20261204", 0);
     passed = rc::check("all promises hold under generated schedules", [] {
         const auto count =
             *rc::gen::weightedElement<size_t>({{1, 1}, {6, 3}, {3, 5}});
