--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -158,14 +158,11 @@
     spread_sync_tick(core);
 }
 
-/* The term and versions that every message carries. */
+/* The versions that every message carries. */
 static void
 take_header(struct spread_core *core, struct daemon_id from,
             const struct spread_message *message)
 {
-    if (message->term > core->term) {
-        spread_on_lead(core, message->term, false);
-    }
     if (from.value == core->options.self.value) {
         return;
     }
@@ -183,12 +180,15 @@
 on_message(struct spread_core *core, struct daemon_id from,
            const struct spread_message *message)
 {
+    if (message->term > core->term) {
+        spread_on_lead(core, message->term, false);
+    }
     switch (message->kind) {
     case SPREAD_ORDER:
         spread_on_order(core, from, message);
         break;
     case SPREAD_REPORT:
-        spread_on_report(core, from, message);
+        spread_on_report(core, message);
         break;
     case SPREAD_FETCH:
         spread_on_fetch(core, from, message->staged);
@@ -223,6 +223,15 @@
 {
     struct spread_message message = spread_start(core, SPREAD_DIFFERENCE);
 
+    if (to.value == core->options.self.value) {
+        if (bytes->to > core->ordered) {
+            spread_lead_stage(core, bytes);
+        }
+        else {
+            spread_on_difference(core, bytes);
+        }
+        return;
+    }
     message.u.difference = *bytes;
     message.u.difference.data = spread_keep(core, bytes->data, bytes->len);
     core->counters.served++;
@@ -244,6 +253,7 @@
     case SPREAD_EV_VIEW:
         spread_set_view(core, event->u.view.daemons, event->u.view.count);
         spread_holders_changed(core);
+        core->view_changed = true;
         break;
     case SPREAD_EV_LEAD:
         spread_on_lead(core, event->u.lead.term, event->u.lead.leading);
--- a/src/member/spread_target.c
+++ b/src/member/spread_target.c
@@ -17,6 +17,8 @@
                    enum spread_refusal);
 static void add_refresh(struct spread_core *, struct spread_held *);
 static bool is_wanted(struct spread_core *, const struct spread_target *);
+static bool is_contradicted(struct spread_core *, const struct spread_held *,
+                            const struct spread_target *);
 static uint64_t expiry_us(const struct spread_core *,
                           const struct spread_target *);
 
@@ -248,8 +250,30 @@
 }
 
 /*
- * Take TARGET in if it is later than what is known.  One that another daemon
- * let expire, although it was announced here of late, is announced again.
+ * Whether the record just taken for HELD is to be overruled by the one
+ * BEFORE, since the target announced itself here of late: the new one says
+ * that it expired, or it took the target from this daemon for a holder that
+ * is not live.
+ */
+static bool
+is_contradicted(struct spread_core *core, const struct spread_held *held,
+                const struct spread_target *before)
+{
+    bool is_orphan = before->holder.value == core->options.self.value &&
+                     !spread_holder(core, held->target.holder)->live;
+
+    if (before->view.state == TARGET_DOWN || held->seen_us == 0 ||
+        core->now_us - held->seen_us >= before->life_ms * US_PER_MS / 2) {
+        return false;
+    }
+    return is_orphan || held->target.view.state == TARGET_DOWN;
+}
+
+/*
+ * Take TARGET in if it is later than what is known.  Its holder may have
+ * started again just now, unknown to the view: a target in use stays so for
+ * its life.  One that another daemon let expire, although it was announced
+ * here of late, is announced again.
  */
 bool
 spread_take(struct spread_core *core, const struct spread_target *target)
@@ -258,6 +282,7 @@
         g_hash_table_lookup(core->targets, &target->view.key.address);
     struct spread_stamp stamp = spread_stamp_of(target);
     struct spread_target before;
+    struct spread_holder *holder;
     struct spread_stamp known;
 
     if (held == NULL) {
@@ -273,24 +298,37 @@
         return false;
     }
     before = held->target;
+    holder = spread_holder(core, target->holder);
+    if (held->visible && !holder->live) {
+        holder->gone_us = core->now_us;
+    }
     store(core, held, target);
-    if (target->view.state == TARGET_DOWN &&
-        before.view.state != TARGET_DOWN && held->seen_us != 0 &&
-        core->now_us - held->seen_us < before.life_ms * US_PER_MS / 2) {
+    if (is_contradicted(core, held, &before)) {
+        core->counters.targets_taken_over++;
         spread_change(core, held, &before);
     }
     return true;
 }
 
+/*
+ * Targets that changed, or that were found to be lacking here.  What came late
+ * is late for others as well: the next comparison follows soon.
+ */
 void
 spread_on_targets(struct spread_core *core,
                   const struct spread_message *message)
 {
+    bool taken = false;
+
     if (core->options.entry) {
         for (size_t i = 0; i < message->u.targets.count; i++) {
-            spread_take(core, &message->u.targets.items[i]);
+            taken |= spread_take(core, &message->u.targets.items[i]);
         }
     }
+    if (taken && message->u.targets.sync) {
+        core->sync_us = MIN(core->sync_us,
+                            core->now_us + core->options.batch_ms * US_PER_MS);
+    }
     if (message->u.targets.relay) {
         spread_relay_targets(core, &message->u.targets.range,
                              message->u.targets.items,
