--- a/tests/property/prop_member_net.h
+++ b/tests/property/prop_member_net.h
@@ -44,6 +44,7 @@
     uint64_t now = SECOND_US;
     uint64_t bytes = 0, datagrams = 0, largest = 0;
     bool through_wire = false;
+    bool pause_drops = false; /* what a paused daemon is sent is lost */
     std::vector<Node> nodes;
     std::set<std::pair<size_t, size_t>> cuts;
 
@@ -217,6 +218,9 @@
             if (!up(datagram.to)) {
                 continue;
             }
+            if (node.paused_until > now && pause_drops) {
+                continue;
+            }
             if (node.paused_until > now) {
                 flying.emplace(node.paused_until, datagram);
                 continue;
