Show what the forwarding bench offers, and keep its output to its lines

Cause: the children's output ran between the bench's lines, and nothing showed whether the sender was the limit. Change: children write to /dev/null; the offered rate is printed.

--- a/bench/bench_forward.c
+++ b/bench/bench_forward.c
@@ -9,6 +9,7 @@
  */
 #include <arpa/inet.h>
 #include <curl/curl.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <signal.h>
@@ -53,6 +54,7 @@
     int sinks[TARGETS + 1]; /* the last takes what is for the fabric */
     atomic_bool ending;
     atomic_uint_fast64_t received;
+    double offered;  /* packets a second of the last window */
     uint8_t *opened; /* a byte a flow, set by the receiver */
     atomic_uint opened_count;
     double *waits; /* microseconds, by the receiver */
@@ -69,6 +71,7 @@
 static void run_wait(const char *server, const char *folder, char **words);
 static void start_daemon(struct bench *);
 static void set_tables(struct bench *);
+static size_t discard(char *, size_t, size_t, void *);
 static void announce(struct bench *);
 static pid_t start_relay(void);
 static void *receive(void *);
@@ -128,7 +131,10 @@
     pid_t pid = fork();
 
     if (pid == 0) {
+        int null = open("/dev/null", O_WRONLY);
+
         prctl(PR_SET_PDEATHSIG, SIGKILL);
+        dup2(null, STDOUT_FILENO);
         execv(argv[0], argv);
         _exit(127);
     }
@@ -195,6 +201,14 @@
     g_free(token);
 }
 
+static size_t
+discard(char *data, size_t size, size_t count, void *arg)
+{
+    (void)data;
+    (void)arg;
+    return size * count;
+}
+
 static void
 set_tables(struct bench *bench)
 {
@@ -227,6 +241,7 @@
         curl_easy_setopt(curl, CURLOPT_PROXY, "");
         curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, 2000L);
         curl_easy_setopt(curl, CURLOPT_FAILONERROR, 1L);
+        curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, discard);
         if (curl_easy_perform(curl) != CURLE_OK) {
             fprintf(stderr, "bench_forward: announcement refused\n");
         }
@@ -428,7 +443,7 @@
 {
     static unsigned next;
     double begun, took;
-    uint64_t before;
+    uint64_t before, sent = 0;
 
     announce(bench);
     g_usleep(100000);
@@ -437,8 +452,10 @@
     do {
         send_flows(bench, to, next, GENEVE_TCP_ACK);
         next = (next + BATCH * 7919) % bench->flows;
+        sent += BATCH;
         took = now_us() - begun;
     } while (took < WINDOW_US);
+    bench->offered = (double)sent / took * 1e6;
     return (double)(atomic_load(&bench->received) - before) / took * 1e6;
 }
 
@@ -491,10 +508,12 @@
 measure(struct bench *bench)
 {
     double ratios[PAIRS], relays[PAIRS], daemons[PAIRS], added[PAIRS];
+    double offered[PAIRS];
 
     for (int i = 0; i < PAIRS; i++) {
         relays[i] = throughput(bench, RELAY);
         daemons[i] = throughput(bench, DAEMON);
+        offered[i] = bench->offered;
         ratios[i] = daemons[i] / relays[i];
     }
     for (int i = 0; i < PAIRS; i++) {
@@ -503,6 +522,7 @@
         added[i] = latency_p99(bench, DAEMON) - relay;
         announce(bench);
     }
+    printf("forward.offered_pps %.0f packets/s\n", median(offered, PAIRS));
     printf("forward.relay_pps %.0f packets/s\n", median(relays, PAIRS));
     printf("forward.daemon_pps %.0f packets/s\n", median(daemons, PAIRS));
     printf("forward.relay_ratio %.3f ratio\n", median(ratios, PAIRS));
@@ -514,6 +534,7 @@
 {
     static struct bench bench;
     const char *flows = getenv("PARSLEYSPUR_BENCH_FLOWS");
+    char *remove[] = {"/bin/rm", "-rf", bench.folder, NULL};
     GThread *receiver;
 
     bench.flows = flows == NULL ? FLOWS_DEFAULT : (unsigned)atoi(flows);
@@ -543,5 +564,6 @@
     kill(bench.relay, SIGKILL);
     waitpid(bench.daemon, NULL, 0);
     waitpid(bench.relay, NULL, 0);
+    waitpid(run(remove), NULL, 0);
     return 0;
 }
