Count call epochs for each pool; draw a new seed at every start

Change: an epoch counts for its pool and stays when the pool is deleted, a stamp orders them for updates; seeds are hashes of name and start.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -5,6 +5,7 @@
  */
 #include "daemon/control_private.h"
 
+#include "base/hash.h"
 #include "base/log.h"
 #include "peer/quorum_wire.h"
 
@@ -85,11 +86,11 @@
 {
     const struct settings *settings = daemon->settings;
     struct table_core_options tables = {0};
-    struct quorum_options options = {.self = daemon->self,
-                                     .voters = {daemon->self},
-                                     .voter_count = 1,
-                                     .seed =
-                                         daemon->seed ^ daemon->incarnation};
+    struct quorum_options options = {
+        .self = daemon->self,
+        .voters = {daemon->self},
+        .voter_count = 1,
+        .seed = hash_pair(daemon->seed, daemon->incarnation)};
     struct quorum_stored stored;
     struct control *control;
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "daemon/control.h"
 
@@ -314,7 +315,7 @@
     daemon->seed =
         settings->seed != 0
             ? (uint64_t)settings->seed
-            : (daemon->self.value ^ daemon->incarnation) & SEED_MASK;
+            : hash_pair(daemon->self.value, daemon->incarnation) & SEED_MASK;
     daemon->member_states =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     uv_loop_init(&daemon->loop);
--- a/src/peer/table.pb-c.c
+++ b/src/peer/table.pb-c.c
@@ -772,7 +772,7 @@
   (ProtobufCMessageInit) parsleyspur__table_edit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__table_epoch__field_descriptors[6] =
+static const ProtobufCFieldDescriptor parsleyspur__table_epoch__field_descriptors[7] =
 {
   {
     "pool",
@@ -846,6 +846,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stamp",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__TableEpoch, stamp),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__table_epoch__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
@@ -854,11 +866,12 @@
   3,   /* field[3] = lead */
   0,   /* field[0] = pool */
   2,   /* field[2] = previous */
+  6,   /* field[6] = stamp */
 };
 static const ProtobufCIntRange parsleyspur__table_epoch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor parsleyspur__table_epoch__descriptor =
 {
@@ -868,7 +881,7 @@
   "Parsleyspur__TableEpoch",
   "parsleyspur",
   sizeof(Parsleyspur__TableEpoch),
-  6,
+  7,
   parsleyspur__table_epoch__field_descriptors,
   parsleyspur__table_epoch__field_indices_by_name,
   1,  parsleyspur__table_epoch__number_ranges,
--- a/src/peer/table.pb-c.h
+++ b/src/peer/table.pb-c.h
@@ -116,10 +116,11 @@
    */
   size_t n_incarnations;
   uint64_t *incarnations;
+  uint64_t stamp;
 };
 #define PARSLEYSPUR__TABLE_EPOCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__table_epoch__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/peer/table_wire.c
+++ b/src/peer/table_wire.c
@@ -36,6 +36,7 @@
     parsleyspur__table_epoch__init(pb);
     pb->pool = epoch->pool.value;
     pb->epoch = epoch->epoch;
+    pb->stamp = epoch->stamp;
     pb->previous = epoch->previous;
     pb->lead = epoch->lead.value;
     pb->n_group = epoch->group_count;
@@ -53,6 +54,7 @@
     memset(epoch, 0, sizeof(*epoch));
     epoch->pool.value = pb->pool;
     epoch->epoch = pb->epoch;
+    epoch->stamp = pb->stamp;
     epoch->previous = pb->previous;
     epoch->lead.value = pb->lead;
     epoch->group_count = pb->n_group;
--- a/src/table/table.h
+++ b/src/table/table.h
@@ -76,7 +76,8 @@
 /* Who leads the calls of a pool, as the daemons have agreed. */
 struct table_epoch {
     struct pool_id pool;
-    uint64_t epoch;    /* 0 for none; later ones are greater, for any pool */
+    uint64_t epoch;    /* counts by one for each pool; 0 for none */
+    uint64_t stamp;    /* counts by one over all pools, for updates */
     uint64_t previous; /* the pool's epoch that this one took over from */
     struct daemon_id lead;
     size_t group_count;
--- a/src/table/table_core.c
+++ b/src/table/table_core.c
@@ -296,6 +296,7 @@
     }
     table_core_epoch(core, wanted->pool, &current);
     next.epoch = current.epoch;
+    next.stamp = current.stamp;
     result->epoch = current.epoch;
     if (current.epoch != 0 && memcmp(&next, &current, sizeof(next)) == 0) {
         result->repeated = true;
@@ -310,7 +311,8 @@
         return;
     }
     core->position.epoch++;
-    next.epoch = core->position.epoch;
+    next.epoch = current.epoch + 1;
+    next.stamp = core->position.epoch;
     result->epoch = next.epoch;
     table_state_set_epoch(core, &next);
 }
--- a/src/table/table_state.c
+++ b/src/table/table_state.c
@@ -157,22 +157,19 @@
     g_hash_table_replace(core->pool_ids, id, copy);
 }
 
-/* Remove the row of KIND called NAME, with its call epoch; it may be missing.
+/*
+ * Remove the row of KIND called NAME; it may be missing.  A pool's call epoch
+ * stays, so that a pool made anew goes on from it.
  */
 void
 table_state_remove(struct table_core *core, enum table_kind kind,
                    const char *name)
 {
     struct table_row *row = g_tree_lookup(core->rows[kind], name);
-    struct pool_id id;
 
     if (row == NULL) {
         return;
     }
-    if (kind == TABLE_POOL) {
-        id = view_pool_id(name);
-        g_hash_table_remove(core->epochs, &id.value);
-    }
     unindex(core, row);
     g_tree_remove(core->rows[kind], name);
 }
--- a/src/table/table_update.c
+++ b/src/table/table_update.c
@@ -22,7 +22,7 @@
     const struct table_epoch *x = a;
     const struct table_epoch *y = b;
 
-    return x->epoch < y->epoch ? -1 : x->epoch > y->epoch;
+    return x->stamp < y->stamp ? -1 : x->stamp > y->stamp;
 }
 
 /* Append the call epochs after AFTER to OUT, ascending. */
@@ -36,7 +36,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const struct table_epoch *epoch = value;
 
-        if (epoch->epoch > after) {
+        if (epoch->stamp > after) {
             g_array_append_val(out, *epoch);
         }
     }
@@ -196,8 +196,7 @@
         const struct table_epoch *epoch =
             &g_array_index(update->epochs, struct table_epoch, i);
 
-        if (epoch->epoch > core->position.epoch &&
-            table_core_pool(core, epoch->pool) != NULL) {
+        if (epoch->stamp > core->position.epoch) {
             table_state_set_epoch(core, epoch);
         }
     }
--- a/tests/unit/test_table.c
+++ b/tests/unit/test_table.c
@@ -280,9 +280,15 @@
     assert_int_equal(table_core_position(core).version, 1);
     /* A pool made anew never gets an epoch of its former life again. */
     remove_row(core, "e2", 1, TABLE_POOL, "fieldline");
-    assert_false(table_core_epoch(core, view_pool_id("fieldline"), &epoch));
+    assert_int_equal(set_epoch(core, "fieldline", 2, 7).reason,
+                     TABLE_POOL_MISSING);
     set_pool(core, "e3", 2, "fieldline");
-    assert_int_equal(set_epoch(core, "fieldline", 0, 7).epoch, 3);
+    assert_int_equal(set_epoch(core, "fieldline", 0, 7).reason,
+                     TABLE_EPOCH_CHANGED);
+    assert_int_equal(set_epoch(core, "fieldline", 2, 7).epoch, 3);
+    /* Each pool counts for itself: a lead expects the next number. */
+    set_pool(core, "e4", 3, "plansdesk");
+    assert_int_equal(set_epoch(core, "plansdesk", 0, 7).epoch, 1);
     table_core_free(core);
 }
 
