--- a/bench/bench_edit.c
+++ b/bench/bench_edit.c
@@ -92,7 +92,7 @@
 static json_int_t
 write_pool(struct writer *writer, unsigned pool, json_int_t value)
 {
-    gint64 end = g_get_monotonic_time() + ANSWER_S * G_USEC_PER_SEC;
+    gint64 end = g_get_monotonic_time() + (gint64)ANSWER_S * G_USEC_PER_SEC;
     char *path = g_strdup_printf("/v1/pools/pool-%u", pool);
     char *id = g_strdup_printf("edit-%u", ++writer->serial);
     json_int_t version = -1;
@@ -243,7 +243,7 @@
 static bool
 wait_settled(struct process_fleet *fleet, json_int_t version)
 {
-    gint64 end = g_get_monotonic_time() + 30 * G_USEC_PER_SEC;
+    gint64 end = g_get_monotonic_time() + (gint64)30 * G_USEC_PER_SEC;
 
     for (size_t i = CONTROLS; i < fleet->count; i++) {
         while (fleet_in_force(&fleet->daemons[i]) < version) {
--- a/bench/process_fleet.h
+++ b/bench/process_fleet.h
@@ -241,7 +241,7 @@
 fleet_wait_ready(struct process_fleet *fleet)
 {
     for (size_t i = 0; i < fleet->count; i++) {
-        gint64 end = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
+        gint64 end = g_get_monotonic_time() + (gint64)20 * G_USEC_PER_SEC;
         long status = 0;
 
         while (status != 200) {
--- a/src/base/view.c
+++ b/src/base/view.c
@@ -3,6 +3,8 @@
 
 #include "base/hash.h"
 
+#define VNI_MAX 0xffffffU /* of 24 bits */
+
 /* The id of the daemon called NAME. */
 struct daemon_id
 view_daemon_id(const char *name)
@@ -24,6 +26,14 @@
     return (uint32_t)hash_string(name);
 }
 
+uint32_t
+view_pool_vni(struct pool_id pool)
+{
+    uint32_t vni = (uint32_t)(pool.value % VNI_MAX);
+
+    return vni + 1;
+}
+
 /*
  * The entry daemon with the highest rendezvous weight for POOL, EXCEPT left
  * out.  A suspected daemon keeps its leads until it is declared dead.
--- a/src/base/view.h
+++ b/src/base/view.h
@@ -97,6 +97,13 @@
 struct pool_id view_pool_id(const char *name);
 uint32_t view_zone_id(const char *name);
 
+/*
+ * The Geneve network identifier (24 bits, never 0) of a pool.  A host's Geneve
+ * interface takes off only its own: a packet that is on its way while the
+ * host's address changes hands between pools is dropped by the host itself.
+ */
+uint32_t view_pool_vni(struct pool_id);
+
 /* The lead of POOL among DAEMONS, by rendezvous hashing; 0 if none may. */
 struct daemon_id view_lead(struct pool_id, const struct daemon_view *, size_t);
 
--- a/src/cmd/cmd_table.c
+++ b/src/cmd/cmd_table.c
@@ -74,9 +74,9 @@
 };
 
 static const struct output_column pool_columns[] = {
-    {"NAME", "name"},         {"PREFER", "prefer"}, {"TEAM", "team"},
-    {"QUEUE", "queue_limit"}, {"DRAIN", "drain"},   {"WEIGHTS", "weights"},
-    {"VERSION", "version"},
+    {"NAME", "name"},       {"VNI", "vni"},           {"PREFER", "prefer"},
+    {"TEAM", "team"},       {"QUEUE", "queue_limit"}, {"DRAIN", "drain"},
+    {"WEIGHTS", "weights"}, {"VERSION", "version"},
 };
 
 static const struct table_command_row route_command = {
--- a/src/daemon/daemon_packet.c
+++ b/src/daemon/daemon_packet.c
@@ -14,7 +14,7 @@
 /* A packet on its way through this daemon. */
 struct passage {
     struct geneve_packet packet;
-    const uint8_t *data; /* the whole Geneve datagram */
+    uint8_t *data; /* the whole Geneve datagram, in a buffer of ours */
     size_t len;
     struct flow_packet flow;
 };
@@ -112,7 +112,7 @@
         counter_add(&daemon->counters, COUNTER_DROP_MALFORMED, 1);
         return false;
     }
-    passage->data = data;
+    passage->data = (uint8_t *)(uintptr_t)data;
     passage->len = len;
     passage->flow = (struct flow_packet){
         .src = packet->src,
@@ -258,6 +258,7 @@
             counter_add(&daemon->counters, COUNTER_PACKETS_FABRIC, 1);
         }
         counter_add(&daemon->counters, COUNTER_PACKETS_FORWARDED, 1);
+        geneve_set_vni(passage->data, view_pool_vni(verdict.pool));
         daemon_packet_send(daemon, verdict.address, verdict.port,
                            passage->data, passage->len);
         trace(daemon, passage, SPAN_TARGET, verdict.address);
@@ -411,6 +412,10 @@
         counter_add(&daemon->counters, COUNTER_RESETS_SENT, 1);
     }
     if (reset->target_flags != 0 && target != 0) {
+        const struct daemon_route *route =
+            daemon_table_route(daemon, flow->dst, flow->dst_port);
+
+        build.vni = route == NULL ? 0 : view_pool_vni(route->pool);
         build.src = flow->src;
         build.dst = flow->dst;
         build.src_port = flow->src_port;
--- a/src/daemon/daemon_target.c
+++ b/src/daemon/daemon_target.c
@@ -181,7 +181,7 @@
 daemon_target_announce(struct daemon *daemon,
                        const struct http_request *request)
 {
-    static const char done[] = "{\"announced\":true}\n";
+    char done[64];
     struct announcement announcement;
     struct spread_event event = {.kind = SPREAD_EV_ANNOUNCED};
     GError *error = NULL;
@@ -199,6 +199,8 @@
     event.u.announced.view = announcement.target;
     event.u.announced.life_ms = (uint32_t)daemon->settings->announce_ttl_ms;
     daemon_spread_event(daemon, &event);
+    g_snprintf(done, sizeof(done), "{\"announced\":true,\"vni\":%u}\n",
+               view_pool_vni(event.u.announced.pool));
     http_answer(daemon->http, request->handle, HTTP_OK, "application/json",
                 done, strlen(done));
 }
--- a/src/edge/geneve.c
+++ b/src/edge/geneve.c
@@ -288,6 +288,13 @@
     return decode_inner(packet);
 }
 
+/* Set the network identifier of a packet that geneve_decode() has taken. */
+void
+geneve_set_vni(uint8_t *data, uint32_t vni)
+{
+    store32(data + 4, vni << 8 | data[7]);
+}
+
 /*
  * Write a Geneve header with an optional call option, whose data is padded
  * to four bytes with zeros.  Returns its length, or 0 if it does not fit.
--- a/src/edge/geneve.h
+++ b/src/edge/geneve.h
@@ -79,6 +79,7 @@
                                 struct geneve_packet *);
 const char *geneve_error_name(enum geneve_error);
 
+void geneve_set_vni(uint8_t *, uint32_t vni);
 size_t geneve_header(uint8_t *, size_t, uint32_t vni, const uint8_t *call,
                      size_t call_len);
 size_t geneve_build_udp(uint8_t *, size_t, const struct geneve_build *);
--- a/src/edge/row_json.c
+++ b/src/edge/row_json.c
@@ -22,7 +22,7 @@
 
 static const char *const pool_members[] = {"name",        "prefer", "team",
                                            "queue_limit", "drain",  "weights",
-                                           "version",     NULL};
+                                           "version",     "vni",    NULL};
 
 static const char *const edit_members[] = {"edit_id", "base_version", "row",
                                            "accept_without", NULL};
@@ -84,10 +84,11 @@
                             json_integer(pool->weights[i].weight));
         g_free(text);
     }
-    return json_pack("{s:s, s:s, s:s, s:I, s:o, s:o}", "name", pool->name,
-                     "prefer", prefer_names[pool->prefer], "team", pool->team,
-                     "queue_limit", (json_int_t)pool->queue_limit, "drain",
-                     drain, "weights", weights);
+    return json_pack(
+        "{s:s, s:I, s:s, s:s, s:I, s:o, s:o}", "name", pool->name, "vni",
+        (json_int_t)view_pool_vni(view_pool_id(pool->name)), "prefer",
+        prefer_names[pool->prefer], "team", pool->team, "queue_limit",
+        (json_int_t)pool->queue_limit, "drain", drain, "weights", weights);
 }
 
 /* ROW as an object with its version. */
--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -79,7 +79,6 @@
     request = g_new0(struct mesh_request, 1);
     request->bytes = frames;
     buffer = uv_buf_init((char *)frames->data, frames->len);
-    counter_add(mesh->counters, COUNTER_PEER_BYTES_OUT, frames->len);
     if (uv_write(&request->write, (uv_stream_t *)tcp, &buffer, 1, on_write) !=
         0) {
         on_write(&request->write, 0);
--- a/src/peer/mesh_accept.c
+++ b/src/peer/mesh_accept.c
@@ -159,6 +159,10 @@
     if (frame->channel == PEER_HELLO || frame->channel == PEER_HELLO_ANSWER) {
         return false;
     }
+    if (frame->channel != PEER_HANDON_CALL) {
+        counter_add(mesh->counters, COUNTER_PEER_BYTES_IN,
+                    FRAME_HEADER_LEN + frame->len);
+    }
     mesh->handlers.message(mesh->handlers.user, &accepted->sender,
                            frame->channel, frame->payload, frame->len);
     return true;
@@ -197,8 +201,6 @@
     struct mesh_accepted *accepted = stream->data;
 
     if (len > 0) {
-        counter_add(accepted->mesh->counters, COUNTER_PEER_BYTES_IN,
-                    (uint64_t)len);
         g_byte_array_append(accepted->input, (const guint8 *)buffer->base,
                             (guint)len);
     }
--- a/src/peer/mesh_link.c
+++ b/src/peer/mesh_link.c
@@ -11,6 +11,7 @@
 static void on_retry(uv_timer_t *);
 static void on_read(uv_stream_t *, ssize_t, const uv_buf_t *);
 static void drop(struct mesh_link *);
+static void count(struct mesh *, enum peer_channel, size_t);
 static void send_hello(struct mesh_link *);
 static bool take_answer(struct mesh_link *);
 
@@ -208,6 +209,16 @@
     }
 }
 
+/* Packets that are handed on are no control traffic. */
+static void
+count(struct mesh *mesh, enum peer_channel channel, size_t len)
+{
+    counter_add(mesh->counters,
+                channel == PEER_HANDON_CALL ? COUNTER_PEER_HANDON_BYTES_OUT
+                                            : COUNTER_PEER_BYTES_OUT,
+                len);
+}
+
 /* Send, or queue until the hello is answered.  False if too much waits. */
 bool
 mesh_link_send(struct mesh_link *link, enum peer_channel channel,
@@ -221,6 +232,7 @@
             g_byte_array_sized_new((guint)(FRAME_HEADER_LEN + len));
 
         frame_append(frames, channel, payload, len);
+        count(link->mesh, channel, frames->len);
         return mesh_write(link->mesh, &link->tcp, frames);
     }
     if (link->queue->len + len > MESH_QUEUE_MAX) {
@@ -228,6 +240,7 @@
         return false;
     }
     frame_append(link->queue, channel, payload, len);
+    count(link->mesh, channel, FRAME_HEADER_LEN + len);
     dial(link);
     return true;
 }
--- a/src/table/table_core.c
+++ b/src/table/table_core.c
@@ -17,6 +17,8 @@
                        struct table_result *);
 static bool check_room(const struct table_core *, enum table_kind,
                        struct table_result *);
+static const struct table_row *pool_with_vni(const struct table_core *,
+                                             uint32_t vni);
 static bool check_set_pool(const struct table_core *,
                            const struct table_pool *, struct table_result *);
 static bool check_set_route(const struct table_core *,
@@ -182,6 +184,22 @@
     return false;
 }
 
+/* The pool whose name gives VNI, or NULL.  Equal pool ids give equal ones. */
+static const struct table_row *
+pool_with_vni(const struct table_core *core, uint32_t vni)
+{
+    GTreeNode *node = g_tree_node_first(core->rows[TABLE_POOL]);
+
+    for (; node != NULL; node = g_tree_node_next(node)) {
+        const struct table_row *row = g_tree_node_value(node);
+
+        if (view_pool_vni(view_pool_id(row->u.pool.name)) == vni) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
 static bool
 check_set_pool(const struct table_core *core, const struct table_pool *pool,
                struct table_result *result)
@@ -191,11 +209,11 @@
     if (table_core_row(core, TABLE_POOL, pool->name) != NULL) {
         return true;
     }
-    other = table_core_pool(core, view_pool_id(pool->name));
+    other = pool_with_vni(core, view_pool_vni(view_pool_id(pool->name)));
     if (other != NULL) {
         table_result_refuse(result, TABLE_BAD_NAME,
-                            "pool %s has the same hash as pool %s; give it "
-                            "another name",
+                            "pool %s has the same network identifier as pool "
+                            "%s; give it another name",
                             pool->name, other->u.pool.name);
         return false;
     }
--- a/tests/stand-ins/lib_target.c
+++ b/tests/stand-ins/lib_target.c
@@ -1,6 +1,8 @@
 /* What the parts of the target stand-in share. */
 #include "lib_target.h"
 
+#include "base/view.h"
+
 #include <netinet/in.h>
 #include <string.h>
 
@@ -88,6 +90,12 @@
         target->malformed++;
         return;
     }
+    /* Its host's Geneve interface takes off only its pool's identifier. */
+    if (target->options.announce_to != NULL &&
+        packet.vni != view_pool_vni(view_pool_id(target->options.pool))) {
+        target->other_vni++;
+        return;
+    }
     if (packet.call == NULL) {
         target_streams_packet(target->streams, &packet);
     }
--- a/tests/stand-ins/lib_target.h
+++ b/tests/stand-ins/lib_target.h
@@ -65,6 +65,7 @@
     struct target_calls *calls;
     uint64_t wrong_service;
     uint64_t malformed;
+    uint64_t other_vni; /* for another pool: dropped by the interface */
     uint64_t announced;
     uint64_t announce_failed;
     atomic_int flows; /* read by the endpoints' threads */
--- a/tests/unit/test_geneve.c
+++ b/tests/unit/test_geneve.c
@@ -42,6 +42,9 @@
 
     (void)state;
     assert_int_equal(geneve_decode(data, len, &packet), GENEVE_OK);
+    geneve_set_vni(data, 0xabcdef);
+    assert_int_equal(geneve_decode(data, len, &packet), GENEVE_OK);
+    assert_int_equal(packet.vni, 0xabcdef);
     assert_int_equal(packet.src, 0x0a000001);
     assert_int_equal(packet.dst_port, 80);
     assert_int_equal(packet.protocol, IPPROTO_TCP);
--- a/tests/unit/test_table.c
+++ b/tests/unit/test_table.c
@@ -377,6 +377,38 @@
     table_core_free(second);
 }
 
+/* Two pools whose names give one network identifier cannot both stand. */
+static void
+test_network_identifiers(void **state)
+{
+    struct table_core *core = table_core_new(NULL);
+    GHashTable *seen = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    char *name = NULL;
+    const char *other = NULL;
+    struct table_result result;
+
+    (void)state;
+    next_index = 0;
+    for (unsigned i = 0; other == NULL; i++) {
+        uint32_t vni;
+
+        name = g_strdup_printf("pool-%u", i);
+        vni = view_pool_vni(view_pool_id(name));
+        assert_in_range(vni, 1, 0xffffff);
+        other = g_hash_table_lookup(seen, GUINT_TO_POINTER(vni));
+        if (other == NULL) {
+            g_hash_table_insert(seen, GUINT_TO_POINTER(vni), name);
+        }
+    }
+    assert_int_equal(set_pool(core, "e1", 0, other).reason, TABLE_ACCEPTED);
+    result = set_pool(core, "e2", 1, name);
+    assert_int_equal(result.reason, TABLE_BAD_NAME);
+    assert_non_null(strstr(result.message, other));
+    g_free(name);
+    g_hash_table_destroy(seen);
+    table_core_free(core);
+}
+
 static void
 test_bounded_history(void **state)
 {
@@ -420,6 +452,7 @@
         cmocka_unit_test(test_epochs),
         cmocka_unit_test(test_replica),
         cmocka_unit_test(test_rows),
+        cmocka_unit_test(test_network_identifiers),
         cmocka_unit_test(test_bounded_history),
     };
 
