--- a/bench/balance_sim.h
+++ b/bench/balance_sim.h
@@ -72,6 +72,7 @@
     EVENT_EPOCH,   /* the authority's word at a daemon */
     EVENT_START,   /* a request at its target */
     EVENT_FINISH,  /* the service ends */
+    EVENT_CANCEL,  /* a cancel at its target, which accepts it */
     EVENT_REFRESH, /* of the load that two choices see */
     EVENT_STOP,    /* the lead stops by plan */
     EVENT_VIEW,    /* a daemon learns of it */
--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -29,6 +29,7 @@
     struct call_epoch epoch;
     uint64_t wait[CALLS];
     bool ended[CALLS];
+    uint16_t running[CALLS]; /* bit by attempt */
     unsigned done;
     unsigned refused;
     bool stopped;           /* the lead has said so */
@@ -164,6 +165,12 @@
         sim->stopped = true;
         break;
     case CALL_ACT_CANCEL:
+        to = action->u.datagram.target.address - TARGET_ADDRESS;
+        event = event_push(&sim->heap, sim->now + delay(sim, daemon, to),
+                           EVENT_CANCEL, to);
+        event->call = (unsigned)action->u.datagram.option.id;
+        event->attempt = action->u.datagram.option.attempt;
+        break;
     case CALL_ACT_DROP:
     case CALL_ACT_EVIDENCE:
     case CALL_ACT__MAX:
@@ -171,6 +178,13 @@
     }
 }
 
+/* The bit of an attempt, whose number ends in four bits of count. */
+static uint16_t
+attempt_bit(unsigned attempt)
+{
+    return (uint16_t)(1U << (attempt & 15));
+}
+
 static void
 begin_service(struct sim *sim, unsigned target, unsigned call,
               unsigned attempt)
@@ -179,6 +193,7 @@
         &sim->heap, sim->now + sim->work->service[call], EVENT_FINISH, target);
 
     sim->in_service[target]++;
+    sim->running[call] |= attempt_bit(attempt);
     event->call = call;
     event->attempt = attempt;
 }
@@ -283,6 +298,10 @@
     unsigned target = event->where;
     unsigned back = sim->work->back[event->call];
 
+    if ((sim->running[event->call] & attempt_bit(event->attempt)) == 0) {
+        return; /* it was cancelled */
+    }
+    sim->running[event->call] &= (uint16_t)~attempt_bit(event->attempt);
     sim->in_service[target]--;
     if (sim->policy <= POLICY_STOP) {
         reply(sim, event, CALL_ANSWER);
@@ -370,6 +389,13 @@
     case EVENT_FINISH:
         finish(sim, event);
         break;
+    case EVENT_CANCEL:
+        if (sim->running[event->call] & attempt_bit(event->attempt)) {
+            sim->running[event->call] &=
+                (uint16_t)~attempt_bit(event->attempt);
+            sim->in_service[event->where]--;
+        }
+        break;
     case EVENT_REFRESH:
         for (unsigned i = 0; i < sim->layout->targets; i++) {
             sim->stale[i] = sim->in_service[i] + sim->queues[i].length;
