--- a/bench/flow_fleet.h
+++ b/bench/flow_fleet.h
@@ -24,6 +24,7 @@
 #define FLEET_FIN     0x01
 #define FLEET_RST     0x04
 #define FLEET_SYN_TRY 1000000 /* before an opening is sent again */
+#define FLEET_CALLERS 0x64000000u
 #define FLEET_ADDRESS 0x0a000001u
 
 enum fleet_kind {
@@ -89,6 +90,9 @@
     uint64_t period_us;
     uint64_t end_us; /* 0: stays */
     bool broken;
+    uint64_t silent_us;  /* first unanswered packet of a silent flow */
+    uint64_t reset_us;   /* ended by its daemons as silent */
+    bool silent;         /* its target has lost track of it */
     uint32_t unanswered; /* packets since the last answer */
     uint32_t seq;
 };
@@ -159,6 +163,12 @@
     return (struct fleet_event **)(void *)fleet->heap->data;
 }
 
+static inline struct fleet_flow *
+fleet_flow_at(struct fleet *fleet, uint32_t flow)
+{
+    return &g_array_index(fleet->flows, struct fleet_flow, flow);
+}
+
 /* Add an event at AT, to be filled by the caller. */
 static inline struct fleet_event *
 fleet_at(struct fleet *fleet, uint64_t at, enum fleet_kind kind)
@@ -228,7 +238,7 @@
 static inline uint32_t
 fleet_any_daemon(struct fleet *fleet)
 {
-    uint32_t alive[FLEET_DAEMONS];
+    uint32_t alive[FLEET_DAEMONS] = {0};
     uint32_t count = 0;
 
     for (uint32_t i = 0; i < FLEET_DAEMONS; i++) {
@@ -298,6 +308,13 @@
         if (action->kind == FLOW_ACT_STOPPED) {
             self->stopped = true;
         }
+        if (action->kind == FLOW_ACT_RESET) {
+            struct fleet_flow *flow = fleet_flow_at(
+                fleet, action->u.reset.packet.src - FLEET_CALLERS);
+
+            flow->reset_us = flow->reset_us == 0 ? fleet->now : flow->reset_us;
+            flow->state = FLEET_FLOW_ENDED;
+        }
         if (action->kind != FLOW_ACT_SEND) {
             continue;
         }
@@ -527,12 +544,6 @@
     g_free(fleet);
 }
 
-static inline struct fleet_flow *
-fleet_flow_at(struct fleet *fleet, uint32_t flow)
-{
-    return &g_array_index(fleet->flows, struct fleet_flow, flow);
-}
-
 /* A flow on ROUTE that sends every PERIOD_US; END_US 0 stays open. */
 static inline uint32_t
 fleet_add_flow(struct fleet *fleet, uint32_t route, uint64_t at,
@@ -542,7 +553,7 @@
     struct fleet_event *event;
 
     memset(&flow, 0, sizeof(flow));
-    flow.src = 0x64000000u + fleet->flows->len;
+    flow.src = FLEET_CALLERS + fleet->flows->len;
     flow.port = (uint16_t)(1024 + fleet_random(fleet, 60000));
     flow.protocol = IPPROTO_TCP;
     flow.route = (uint8_t)route;
--- a/bench/flow_fleet_run.h
+++ b/bench/flow_fleet_run.h
@@ -2,6 +2,8 @@
 #ifndef PS_BENCH_FLOW_FLEET_RUN_H
 #define PS_BENCH_FLOW_FLEET_RUN_H
 
+#define FLEET_RETRY_US 100000 /* of a segment, doubled each time */
+
 /* Note FLOW as broken, once. */
 static inline void
 fleet_break(struct fleet *fleet, struct fleet_flow *flow)
@@ -108,6 +110,9 @@
         }
         return;
     }
+    if (flow->silent) {
+        return;
+    }
     fleet_answer(fleet, event->flow, to,
                  (event->flags & FLEET_FIN) != 0 ? FLEET_FIN | FLEET_ACK
                                                  : FLEET_ACK);
@@ -129,6 +134,9 @@
         fleet_set_target(fleet, flow, from);
         flow->state = FLEET_FLOW_OPEN;
         flow->opened_us = fleet->now;
+        flow->unanswered++;
+        fleet_caller_packet(fleet, event->flow,
+                            flow->protocol == IPPROTO_TCP ? FLEET_ACK : 0);
     }
 }
 
@@ -233,7 +241,15 @@
     }
     else {
         flow->unanswered++;
-        flow->seq += 100;
+        if (flow->silent && flow->silent_us != 0) {
+            wait = FLEET_RETRY_US << flow->unanswered;
+        }
+        else {
+            flow->seq += 100;
+            flow->unanswered = flow->silent ? 1 : flow->unanswered;
+            flow->silent_us = flow->silent ? fleet->now : 0;
+            wait = flow->silent ? FLEET_RETRY_US * 2 : wait;
+        }
         fleet_caller_packet(fleet, event->flow, tcp ? FLEET_ACK : 0);
     }
     fleet_at(fleet, fleet->now + wait, FLEET_CALLER)->flow = event->flow;
--- a/src/flow/flow_cache.c
+++ b/src/flow/flow_cache.c
@@ -3,7 +3,8 @@
 
 #include <glib.h>
 
-#define WAYS 2
+#define WAYS       2
+#define CACHE_LINE 64 /* bytes; holds one set */
 
 static struct flow_cached *set_of(const struct flow_cache *, uint64_t);
 
@@ -15,13 +16,14 @@
     while (cache->sets * WAYS < entries) {
         cache->sets *= 2;
     }
-    cache->entries = g_new0(struct flow_cached, (gsize)cache->sets * WAYS);
+    cache->entries = g_aligned_alloc0((gsize)cache->sets * WAYS,
+                                      sizeof(struct flow_cached), CACHE_LINE);
 }
 
 void
 flow_cache_clear(struct flow_cache *cache)
 {
-    g_free(cache->entries);
+    g_aligned_free(cache->entries);
     cache->entries = NULL;
 }
 
@@ -63,7 +65,6 @@
         *entry = (struct flow_cached){
             .digest = digest,
             .endpoint = FLOW_ENDPOINT_NONE,
-            .first_s = now_s,
             .touched_s = now_s,
         };
     }
--- a/src/flow/flow_cache.h
+++ b/src/flow/flow_cache.h
@@ -11,13 +11,13 @@
 #define FLOW_ENDPOINT_NONE UINT32_MAX
 
 struct flow_cached {
-    uint64_t digest;     /* 0 is empty */
-    uint32_t endpoint;   /* that answered, or FLOW_ENDPOINT_NONE */
-    uint32_t answered_s; /* when it did last */
-    uint32_t touched_s;  /* when the lead heard of the flow from here */
-    uint32_t first_s;    /* when the entry was made */
-    uint32_t seq;        /* of the caller's packet seen at asked_ms */
-    uint32_t asked_ms;   /* 0: nothing unanswered */
+    uint64_t digest;      /* 0 is empty */
+    uint32_t endpoint;    /* that answered, or FLOW_ENDPOINT_NONE */
+    uint32_t answered_ms; /* when it did last */
+    uint32_t touched_s;   /* when the lead heard of the flow from here */
+    uint32_t seq;         /* TCP: of the caller's packet seen at asked_ms;
+                            UDP: second of the first packet */
+    uint32_t asked_ms;    /* 0: nothing unanswered */
     uint32_t used_s;
 };
 
--- a/src/flow/flow_core.c
+++ b/src/flow/flow_core.c
@@ -167,6 +167,9 @@
     case FLOW_MSG_ANSWERED:
         flow_silent_answered(core, from, message);
         break;
+    case FLOW_MSG_END:
+        flow_silent_end(core, message);
+        break;
     case FLOW_MSG__MAX:
         break;
     }
--- a/src/flow/flow_message.h
+++ b/src/flow/flow_message.h
@@ -27,7 +27,8 @@
     FLOW_MSG_GRANT,    /* old lead to new: decide from here on */
     FLOW_MSG_ROUTES,   /* to all: version of the routes in force here */
     FLOW_MSG_ASK,      /* to all: was this flow answered lately? */
-    FLOW_MSG_ANSWERED, /* back: yes */
+    FLOW_MSG_ANSWERED, /* back: yes or no */
+    FLOW_MSG_END,      /* to the lead: a silent flow was ended */
     FLOW_MSG__MAX
 };
 
--- a/src/flow/flow_state.h
+++ b/src/flow/flow_state.h
@@ -12,7 +12,7 @@
 #define FLOW_RESEND_US    200000   /* an unacknowledged message again */
 #define FLOW_HEARD_US     3000000  /* an unlisted lead counts as alive */
 #define FLOW_GONE_US      10000000 /* a missing target counts as gone */
-#define FLOW_LEARNED_S    10       /* an answer's target is relied on */
+#define FLOW_LEARNED_MS   10000    /* an answer's target is relied on */
 #define FLOW_CLOSED_S     10       /* a closed flow is kept for stragglers */
 #define FLOW_UNANSWERED_S 60       /* an opening without answer is forgotten */
 #define US_PER_S          1000000
@@ -21,8 +21,9 @@
 struct flow_endpoint {
     struct pool_id pool;
     struct target_key key;
-    bool present;     /* in the pool's newest view */
-    uint64_t gone_us; /* since when not */
+    bool present;       /* in the pool's newest view */
+    uint64_t gone_us;   /* since when not */
+    uint64_t opened_us; /* last answer to an opening seen here */
     struct target_view view;
 };
 
@@ -304,8 +305,10 @@
 void flow_term_stop(struct flow_core *);
 
 /* flow_silent.c: flows without answers */
-void flow_silent_suspect(struct flow_core *, struct flow_pool *,
-                         const struct flow_packet *, uint64_t digest);
+void flow_silent_watch(struct flow_core *, struct flow_pool *,
+                       struct flow_cached *, const struct flow_packet *);
+void flow_silent_clear(struct flow_core *, uint64_t digest);
+void flow_silent_end(struct flow_core *, const struct flow_message *);
 void flow_silent_ask(struct flow_core *, struct daemon_id,
                      const struct flow_message *);
 void flow_silent_answered(struct flow_core *, struct daemon_id,
@@ -337,6 +340,13 @@
     return &pool->buckets[digest >> pool->bucket_shift];
 }
 
+/* Milliseconds modulo 2^32, never 0. */
+static inline uint32_t
+flow_now_ms(const struct flow_core *core)
+{
+    return (uint32_t)(core->now_us / 1000) | 1;
+}
+
 static inline uint32_t
 flow_now_s(const struct flow_core *core)
 {
--- a/src/flow/flow_table.h
+++ b/src/flow/flow_table.h
@@ -46,6 +46,16 @@
 uint32_t flow_table_home(const struct flow_table *, uint64_t digest);
 uint32_t flow_table_end(const struct flow_table *);
 
+/* Begin to fetch the slot where the search for DIGEST starts. */
+static inline void
+flow_table_prefetch(const struct flow_table *table, uint64_t digest)
+{
+    if (table->slots != NULL) {
+        __builtin_prefetch(
+            &table->slots[((digest >> 16) * table->capacity) >> 32]);
+    }
+}
+
 /* The flow's digest and the index of its target. */
 static inline uint64_t
 flow_entry_digest(const struct flow_entry *entry)
