--- /dev/null
+++ b/tests/property/prop_call.cc
@@ -0,0 +1,104 @@
+/*
+ * Calls over several daemons: nothing runs twice, "not run" is true, answers
+ * are whole and go to their own caller, and each call ends by its deadline.
+ */
+#include <cstdlib>
+#include <iostream>
+
+#include <rapidcheck.h>
+
+#include "prop_call_world.h"
+
+using namespace call_world;
+
+static uint64_t answers, not_run, unknown, calls;
+
+static std::string
+history(uint32_t seed, const std::vector<uint32_t> &words, Options options)
+{
+    World world(seed, options);
+
+    world.run(words);
+    answers += world.answers;
+    not_run += world.not_run;
+    unknown += world.unknown;
+    calls += world.calls.size();
+    return world.fault;
+}
+
+static bool
+check(const char *name, Options options)
+{
+    bool passed = rc::check(
+        name, [=](uint32_t seed, const std::vector<uint32_t> &words) {
+            RC_ASSERT(history(seed, words, options) == "");
+        });
+
+    std::cout << "calls " << calls << ", answer parts " << answers
+              << ", not run " << not_run << ", outcome unknown " << unknown
+              << std::endl;
+    return passed;
+}
+
+/* Histories that once broke a promise. */
+struct Found {
+    Options options;
+    uint32_t seed;
+    std::vector<uint32_t> words;
+};
+
+static const std::vector<Found> found = {
+    {{false, false},
+     4806276,
+     {7525173, 5399658, 2050293, 4331960, 2912078, 7391979, 4086099}},
+    {{false, false}, 77099, {191984, 561365, 1742401}},
+    {{false, false},
+     121020,
+     {75268, 65937, 386210, 243775, 211093, 51075, 490371, 233146, 23653,
+      21556, 378522, 147044, 108078}},
+    {{false, false},
+     121020,
+     {56451, 64876, 384679, 243716, 211093, 51075, 233134, 23653, 21556,
+      328620, 147044, 273368, 5516, 11589, 80135, 391, 91249, 450898, 108078}},
+    {{false, false},
+     2881911,
+     {2502526, 4093486, 2041680, 832446, 438117, 2066206, 2619466, 2372354,
+      2823353}},
+    {{false, false},
+     11579018,
+     {11450677, 13571298, 15097163, 4663339, 12256600, 4875238, 3042064,
+      5836949, 12053836, 14480433, 12496118, 4891247, 7928793, 4682201,
+      6283116, 11516364}},
+};
+
+static bool
+replay()
+{
+    bool passed = true;
+
+    for (const Found &it : found) {
+        std::string fault = history(it.seed, it.words, it.options);
+
+        if (!fault.empty()) {
+            std::cout << "seed " << it.seed << ": " << fault << std::endl;
+            passed = false;
+        }
+    }
+    return passed;
+}
+
+int
+main()
+{
+    bool passed = replay();
+
+    setenv("RC_PARAMS", "seed=20261204 max_success=6000 max_size=60", 0);
+    passed =
+        check("faults of daemons, network and targets", Options{true, true}) &&
+        passed;
+    passed = check("each call ends by its deadline", Options{false, true}) &&
+             passed;
+    passed = check("planned stops cut off no call", Options{false, false}) &&
+             passed;
+    return passed ? 0 : 1;
+}
--- /dev/null
+++ b/tests/unit/test_quorum.c
@@ -0,0 +1,241 @@
+/*
+ * The replicated log over three voters: what is refused and why, what waits
+ * for the store, a leader cut off, stores lost one after the other, snapshots.
+ */
+#include "quorum_cluster.h"
+
+static void
+test_refusals(void **state)
+{
+    struct cluster cluster;
+    struct quorum_event space = {.kind = QUORUM_EV_SPACE};
+    struct voter *voter;
+    size_t leader;
+
+    (void)state;
+    open_cluster(&cluster, 0);
+    propose(&cluster, 0, 8);
+    assert_int_equal(cluster.voters[0].refused[QUORUM_NOT_LEADER], 1);
+    leader = wait_for_leader(&cluster);
+    voter = &cluster.voters[leader];
+    propose(&cluster, leader, QUORUM_COMMAND_MAX + 1);
+    assert_int_equal(voter->refused[QUORUM_TOO_LARGE], 1);
+    space.u.space_low = true;
+    step(&cluster, leader, &space);
+    propose(&cluster, leader, 8);
+    assert_int_equal(voter->refused[QUORUM_NO_SPACE], 1);
+    assert_true(quorum_core_read_ok(voter->core, cluster.now_us));
+    space.u.space_low = false;
+    step(&cluster, leader, &space);
+    for (int i = 0; i < 51; i++) {
+        propose(&cluster, leader, 8);
+    }
+    assert_int_equal(voter->refused[QUORUM_BUSY], 1);
+    deliver(&cluster);
+    assert_int_equal(voter->applied, quorum_core_last(voter->core));
+    close_cluster(&cluster);
+}
+
+/* A leader cut off stops before another is elected; its edit is unknown. */
+static void
+test_leader_cut_off(void **state)
+{
+    struct cluster cluster;
+    struct voter *old;
+    size_t leader;
+
+    (void)state;
+    open_cluster(&cluster, 0);
+    leader = wait_for_leader(&cluster);
+    pass(&cluster, SECOND);
+    old = &cluster.voters[leader];
+    old->cut = true;
+    propose(&cluster, leader, 8);
+    while (leader_of(&cluster) == leader) { /* asserts that it is the only */
+        pass(&cluster, TICK_US);
+    }
+    assert_int_equal(leader_of(&cluster), VOTERS);
+    propose(&cluster, leader, 8);
+    assert_int_equal(old->refused[QUORUM_NO_QUORUM], 1);
+    assert_int_not_equal(wait_for_leader(&cluster), leader);
+    assert_int_equal(old->refused[QUORUM_UNKNOWN], 1);
+    assert_int_equal(quorum_core_role(old->core) == QUORUM_LEADER, 0);
+    old->cut = false;
+    pass(&cluster, 3 * SECOND);
+    assert_int_equal(
+        quorum_core_commit(old->core),
+        quorum_core_commit(cluster.voters[leader_of(&cluster)].core));
+    close_cluster(&cluster);
+}
+
+/* While its store is held back a voter neither votes nor acknowledges. */
+static void
+test_waits_for_store(void **state)
+{
+    struct cluster cluster;
+    struct voter *held;
+    size_t leader;
+    uint64_t before;
+    uint64_t commit;
+
+    (void)state;
+    open_cluster(&cluster, 0);
+    leader = wait_for_leader(&cluster);
+    held = &cluster.voters[(leader + 1) % VOTERS];
+    cluster.voters[(leader + 2) % VOTERS].cut = true;
+    held->held = true;
+    before = held->sent[QUORUM_MSG_APPEND_ANSWER];
+    commit = quorum_core_commit(cluster.voters[leader].core);
+    propose(&cluster, leader, 8);
+    deliver(&cluster);
+    assert_int_equal(held->sent[QUORUM_MSG_APPEND_ANSWER], before);
+    assert_int_equal(quorum_core_commit(cluster.voters[leader].core), commit);
+    held->held = false;
+    step(&cluster, (leader + 1) % VOTERS,
+         &(struct quorum_event){
+             .kind = QUORUM_EV_STORED,
+             .u.stored = {.token = held->held_token, .ok = true},
+         });
+    deliver(&cluster);
+    assert_int_equal(held->sent[QUORUM_MSG_APPEND_ANSWER], before + 1);
+    assert_int_equal(quorum_core_commit(cluster.voters[leader].core),
+                     commit + 1);
+    close_cluster(&cluster);
+}
+
+static void
+test_failed_store(void **state)
+{
+    struct cluster cluster;
+    struct quorum_event event = {.kind = QUORUM_EV_STORED};
+    struct voter *failed;
+    size_t leader;
+    uint64_t before;
+
+    (void)state;
+    open_cluster(&cluster, 0);
+    leader = wait_for_leader(&cluster);
+    failed = &cluster.voters[(leader + 1) % VOTERS];
+    failed->held = true;
+    propose(&cluster, leader, 8);
+    deliver(&cluster);
+    event.u.stored.token = failed->held_token;
+    before = failed->sent[QUORUM_MSG_APPEND_ANSWER];
+    step(&cluster, (leader + 1) % VOTERS, &event);
+    assert_true(quorum_core_failed(failed->core));
+    pass(&cluster, 5 * SECOND);
+    assert_int_equal(failed->sent[QUORUM_MSG_APPEND_ANSWER], before);
+    assert_int_equal(leader_of(&cluster), leader);
+    /* Read again from what is stored, it takes part as before. */
+    stop(&cluster, (leader + 1) % VOTERS, false);
+    start(&cluster, (leader + 1) % VOTERS);
+    pass(&cluster, SECOND);
+    assert_int_equal(quorum_core_commit(failed->core),
+                     quorum_core_commit(cluster.voters[leader].core));
+    close_cluster(&cluster);
+}
+
+/* A store is lost and its voter comes back; then a second one is lost. */
+static void
+test_repaired_then_second_lost(void **state)
+{
+    struct cluster cluster;
+    size_t leader;
+    size_t first;
+    uint64_t commit;
+
+    (void)state;
+    open_cluster(&cluster, 0);
+    leader = wait_for_leader(&cluster);
+    for (int i = 0; i < 20; i++) {
+        propose(&cluster, leader, 8);
+        deliver(&cluster);
+    }
+    first = (leader + 1) % VOTERS;
+    stop(&cluster, first, true);
+    start(&cluster, first);
+    assert_false(quorum_core_votes(cluster.voters[first].core));
+    pass(&cluster, SECOND);
+    assert_true(quorum_core_votes(cluster.voters[first].core));
+    assert_true(cluster.voters[first].disk.hard.voter);
+    commit = quorum_core_commit(cluster.voters[leader].core);
+    stop(&cluster, leader, true);
+    pass(&cluster, 6 * SECOND);
+    assert_int_not_equal(leader_of(&cluster), VOTERS);
+    assert_true(quorum_core_commit(cluster.voters[leader_of(&cluster)].core) >
+                commit);
+    start(&cluster, leader);
+    pass(&cluster, SECOND);
+    assert_true(quorum_core_votes(cluster.voters[leader].core));
+    close_cluster(&cluster);
+}
+
+/* Two of three stores lost at once: nobody may go on, nothing is made up. */
+static void
+test_majority_lost(void **state)
+{
+    struct cluster cluster;
+    size_t leader;
+
+    (void)state;
+    open_cluster(&cluster, 0);
+    leader = wait_for_leader(&cluster);
+    propose(&cluster, leader, 8);
+    deliver(&cluster);
+    for (size_t i = 1; i < VOTERS; i++) {
+        stop(&cluster, (leader + i) % VOTERS, true);
+        start(&cluster, (leader + i) % VOTERS);
+    }
+    pass(&cluster, 10 * SECOND);
+    assert_int_equal(leader_of(&cluster), VOTERS);
+    assert_false(
+        quorum_core_votes(cluster.voters[(leader + 1) % VOTERS].core));
+    close_cluster(&cluster);
+}
+
+/* A damaged piece is found by the checksum and the snapshot sent again. */
+static void
+test_snapshot_pieces(void **state)
+{
+    struct cluster cluster;
+    const struct quorum_counters *counters;
+    size_t leader;
+    size_t behind;
+
+    (void)state;
+    open_cluster(&cluster, 10);
+    leader = wait_for_leader(&cluster);
+    behind = (leader + 1) % VOTERS;
+    cluster.voters[behind].cut = true;
+    for (int i = 0; i < 35; i++) {
+        propose(&cluster, leader, 8);
+        deliver(&cluster);
+    }
+    cluster.voters[behind].cut = false;
+    cluster.spoil = 1;
+    pass(&cluster, SECOND);
+    counters = quorum_core_counters(cluster.voters[behind].core);
+    assert_int_equal(counters->snapshots_damaged, 1);
+    assert_int_equal(counters->snapshots_received, 1);
+    assert_true(cluster.voters[behind].installed >= 30);
+    assert_int_equal(quorum_core_commit(cluster.voters[behind].core),
+                     quorum_core_commit(cluster.voters[leader].core));
+    assert_true(cluster.voters[behind].disk.snapshot != NULL);
+    close_cluster(&cluster);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_refusals),
+        cmocka_unit_test(test_leader_cut_off),
+        cmocka_unit_test(test_waits_for_store),
+        cmocka_unit_test(test_failed_store),
+        cmocka_unit_test(test_repaired_then_second_lost),
+        cmocka_unit_test(test_majority_lost),
+        cmocka_unit_test(test_snapshot_pieces),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_storage.c
@@ -0,0 +1,371 @@
+/*
+ * The log's files: what was stored is read back, writes cut off at every byte
+ * leave a prefix that holds all that was answered for, damage is named.
+ */
+#include "storage_script.h"
+
+static void assert_goes_on(const char *);
+static size_t change_each_byte(const struct script *, const char *,
+                               const char *, const char *);
+
+/* What is written after a recovery is found behind what was recovered. */
+static void
+assert_goes_on(const char *path)
+{
+    struct faults faults = {.left = -1, .syncs = -1};
+    struct storage_io io = {faulty_write, faulty_sync, &faults};
+    struct storage_options options = {
+        .folder = path,
+        .segment_bytes = SEGMENT_BYTES,
+        .io = &io,
+    };
+    struct quorum_record record = {
+        .kind = QUORUM_RECORD_HARD,
+        .u.hard = {99, {3}, 78, true},
+    };
+    struct quorum_stored stored;
+    struct storage_report report;
+    struct storage *storage;
+
+    storage = storage_open(&options, &stored, &report, NULL);
+    assert_non_null(storage);
+    quorum_stored_clear(&stored);
+    assert_true(storage_write(storage, &record, 1, NULL));
+    storage_close(storage);
+    storage = storage_open(&options, &stored, &report, NULL);
+    assert_non_null(storage);
+    assert_int_equal(stored.hard.term, 99);
+    assert_int_equal(report.torn_bytes, 0);
+    quorum_stored_clear(&stored);
+    storage_close(storage);
+}
+
+static void
+test_round_trip(void **state)
+{
+    struct faults faults = {.left = -1, .syncs = -1};
+    struct script script;
+    char *path = folder("round");
+    char *found;
+
+    (void)state;
+    script_init(&script);
+    assert_int_equal(run_script(&script, path, &faults),
+                     script.state_count - 1);
+    for (int i = 0; i < 2; i++) {
+        found = open_state(path, NULL);
+        assert_string_equal(found, script.states[script.state_count - 1]);
+        g_free(found);
+    }
+    script_clear(&script);
+    g_free(path);
+}
+
+/* At every byte: the folder of a crash, and the one after an error. */
+static void
+test_cut_at_every_byte(void **state)
+{
+    struct script script;
+    char *path = folder("cut");
+    char *crash = folder("crash");
+    struct faults all = {.left = -1, .syncs = -1};
+    uint64_t total;
+
+    (void)state;
+    script_init(&script);
+    run_script(&script, path, &all);
+    total = all.written;
+    for (uint64_t cut = 0; cut < total; cut++) {
+        struct faults faults = {
+            .left = (int64_t)cut,
+            .syncs = -1,
+            .number = cut % 2 == 0 ? EIO : ENOSPC,
+            .from = path,
+            .crash = crash,
+        };
+        size_t answered;
+        const char *paths[2] = {path, crash};
+
+        remove_folder(path);
+        answered = run_script(&script, path, &faults);
+        assert_null(faults.from);
+        for (int i = 0; i < 2; i++) {
+            GError *error = NULL;
+            char *found = open_state(paths[i], &error);
+
+            if (found == NULL ||
+                !state_between(&script, found, answered, answered + 4)) {
+                fail_msg("cut at byte %d of %d, %s: %d records answered for, "
+                         "found: %s",
+                         (int)cut, (int)total, i == 0 ? "error" : "crash",
+                         (int)answered, found ? found : error->message);
+            }
+            g_free(found);
+            assert_goes_on(paths[i]);
+        }
+    }
+    script_clear(&script);
+    g_free(path);
+    g_free(crash);
+}
+
+static void
+test_failed_sync(void **state)
+{
+    struct script script;
+    char *path = folder("sync");
+    struct faults all = {.left = -1, .syncs = -1};
+
+    (void)state;
+    script_init(&script);
+    run_script(&script, path, &all);
+    for (uint64_t syncs = 0; syncs < all.synced; syncs++) {
+        struct faults faults = {
+            .left = -1, .syncs = (int64_t)syncs, .number = EIO};
+        size_t answered;
+        char *found;
+
+        remove_folder(path);
+        answered = run_script(&script, path, &faults);
+        found = open_state(path, NULL);
+        assert_non_null(found);
+        /* Nothing counts that the failed sync should have stored, but for a
+         * snapshot that has its file already. */
+        if (!state_between(&script, found, answered, answered) &&
+            !(strstr(script.states[answered + 1], "snapshot") != NULL &&
+              state_between(&script, found, answered + 1, answered + 1))) {
+            fail_msg("sync %d failed, %d records answered for, found: %s",
+                     (int)syncs, (int)answered, found);
+        }
+        g_free(found);
+    }
+    script_clear(&script);
+    g_free(path);
+}
+
+/*
+ * Change each byte of one file of FOLDER: refused, or the last write cut off,
+ * never another state.  Returns how often it was refused.
+ */
+static size_t
+change_each_byte(const struct script *script, const char *path,
+                 const char *copy, const char *name)
+{
+    char *file = g_build_filename(copy, name, NULL);
+    size_t last = script->state_count - 1;
+    size_t refused = 0;
+    char *data = NULL;
+    gsize len = 0;
+
+    copy_folder(path, copy);
+    g_file_get_contents(file, &data, &len, NULL);
+    for (gsize i = 0; i < len; i++) {
+        GError *error = NULL;
+        char *found;
+
+        copy_folder(path, copy);
+        data[i] ^= 0x10;
+        g_file_set_contents_full(file, data, (gssize)len,
+                                 G_FILE_SET_CONTENTS_NONE, 0600, NULL);
+        data[i] ^= 0x10;
+        found = open_state(copy, &error);
+        if (found == NULL) {
+            assert_int_equal(error->code, ERR_CORRUPT);
+            assert_non_null(strstr(error->message, "data folder"));
+            g_error_free(error);
+            refused++;
+        }
+        else if (!state_between(script, found, last - 1, last)) {
+            fail_msg("byte %d of %s changed, found: %s", (int)i, name, found);
+        }
+        g_free(found);
+    }
+    g_free(data);
+    g_free(file);
+    return refused;
+}
+
+static void
+test_damage(void **state)
+{
+    static const uint64_t sizes[] = {SEGMENT_BYTES, 1 << 20};
+    struct script script;
+    char *path = folder("damage");
+    char *copy = folder("damaged");
+
+    (void)state;
+    script_init(&script);
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        struct faults faults = {
+            .left = -1, .syncs = -1, .segment_bytes = sizes[i]};
+        size_t refused = 0;
+        const char *name;
+        GDir *dir;
+
+        remove_folder(path);
+        run_script(&script, path, &faults);
+        dir = g_dir_open(path, 0, NULL);
+        while ((name = g_dir_read_name(dir)) != NULL) {
+            refused += change_each_byte(&script, path, copy, name);
+        }
+        g_dir_close(dir);
+        assert_true(refused > 100);
+    }
+    script_clear(&script);
+    g_free(path);
+    g_free(copy);
+}
+
+static void
+test_missing_files(void **state)
+{
+    struct faults faults = {.left = -1, .syncs = -1};
+    struct script script;
+    char *path = folder("missing");
+    char *copy = folder("missed");
+    GDir *dir;
+    const char *name;
+
+    (void)state;
+    script_init(&script);
+    /* The third snapshot is left out, so that entries stand behind one. */
+    script.counts[23] = 0;
+    run_script(&script, path, &faults);
+    script.counts[23] = 1;
+    dir = g_dir_open(path, 0, NULL);
+    while ((name = g_dir_read_name(dir)) != NULL) {
+        char *file = g_build_filename(copy, name, NULL);
+        GError *error = NULL;
+        char *found;
+
+        copy_folder(path, copy);
+        unlink(file);
+        found = open_state(copy, &error);
+        if (strcmp(name, "LOCK") == 0) {
+            assert_non_null(found);
+        }
+        else if (found != NULL) {
+            /* Only the newest segment can be missed without a trace. */
+            assert_true(
+                state_between(&script, found, 1, script.state_count - 2));
+        }
+        else {
+            assert_int_equal(error->code, ERR_CORRUPT);
+            g_error_free(error);
+        }
+        g_free(found);
+        g_free(file);
+    }
+    g_dir_close(dir);
+    script_clear(&script);
+    g_free(path);
+    g_free(copy);
+}
+
+/*
+ * A snapshot that lags far behind the log: its mark stands behind entries
+ * whose forerunners were cleared away later.
+ */
+static void
+test_lagging_snapshot(void **state)
+{
+    static const uint64_t snapshots[] = {5, 30};
+    struct storage_options options = {
+        .folder = folder("lagging"),
+        .segment_bytes = SEGMENT_BYTES,
+    };
+    struct storage_report report;
+    struct quorum_stored stored;
+    struct quorum_record record = {
+        .kind = QUORUM_RECORD_HARD,
+        .u.hard = {1, {1}, 77, true},
+    };
+    struct storage *storage;
+    GBytes *data = g_bytes_new("data", 4);
+
+    (void)state;
+    storage = storage_open(&options, &stored, &report, NULL);
+    quorum_stored_clear(&stored);
+    assert_true(storage_write(storage, &record, 1, NULL));
+    for (uint64_t i = 1; i <= 40; i++) {
+        record.kind = QUORUM_RECORD_ENTRY;
+        record.u.entry = quorum_entry_new(i, 1, QUORUM_ENTRY_NOOP);
+        assert_true(storage_write(storage, &record, 1, NULL));
+        quorum_record_clear(&record);
+    }
+    for (size_t i = 0; i < 2; i++) {
+        record.kind = QUORUM_RECORD_SNAPSHOT;
+        record.u.snapshot = quorum_snapshot_new(snapshots[i], 1, data);
+        assert_true(storage_write(storage, &record, 1, NULL));
+        quorum_record_clear(&record);
+    }
+    storage_close(storage);
+    storage = storage_open(&options, &stored, &report, NULL);
+    assert_non_null(storage);
+    assert_true(report.segments > 1);
+    assert_int_equal(stored.snapshot->index, 30);
+    assert_int_equal(stored.entries->len, 10);
+    quorum_stored_clear(&stored);
+    storage_close(storage);
+    g_bytes_unref(data);
+    g_free((char *)options.folder);
+}
+
+static void
+test_folder_errors(void **state)
+{
+    char *path = folder("held");
+    char *nowhere = g_build_filename(root, "no", "such", NULL);
+    struct storage_options options = {.folder = path};
+    struct quorum_stored stored;
+    struct storage_report report;
+    struct storage *storage;
+    GError *error = NULL;
+
+    (void)state;
+    storage = storage_open(&options, &stored, &report, NULL);
+    assert_non_null(storage);
+    assert_true(report.was_empty);
+    assert_false(storage_space_low(storage) && report.segments != 0);
+    quorum_stored_clear(&stored);
+    assert_null(open_state(path, &error));
+    assert_int_equal(error->code, ERR_STORAGE);
+    assert_non_null(strstr(error->message, "held by another process"));
+    g_clear_error(&error);
+    storage_close(storage);
+    assert_null(open_state(nowhere, &error));
+    assert_non_null(strstr(error->message, "name another data folder"));
+    g_clear_error(&error);
+    /* A folder in which not even root can make a file. */
+    assert_null(open_state("/proc/self", &error));
+    assert_int_equal(error->code, ERR_STORAGE);
+    g_clear_error(&error);
+    g_free(nowhere);
+    g_free(path);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_round_trip),
+        cmocka_unit_test(test_cut_at_every_byte),
+        cmocka_unit_test(test_failed_sync),
+        cmocka_unit_test(test_damage),
+        cmocka_unit_test(test_missing_files),
+        cmocka_unit_test(test_lagging_snapshot),
+        cmocka_unit_test(test_folder_errors),
+    };
+    static const char *const names[] = {
+        "round",   "cut",     "crash",  "sync", "damage",
+        "damaged", "missing", "missed", "held", "lagging"};
+    int failed;
+
+    root = g_dir_make_tmp("parsleyspur-storage-XXXXXX", NULL);
+    failed = cmocka_run_group_tests(tests, NULL, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        g_free(folder(names[i]));
+    }
+    rmdir(root);
+    return failed;
+}
