--- a/bench/flow_fleet_run.h
+++ b/bench/flow_fleet_run.h
@@ -2,7 +2,7 @@
 #ifndef PS_BENCH_FLOW_FLEET_RUN_H
 #define PS_BENCH_FLOW_FLEET_RUN_H
 
-#define FLEET_RETRY_US 100000 /* of a segment, doubled each time */
+#define FLEET_RETRY_US UINT64_C(100000) /* of a segment, doubled each time */
 
 /* Note FLOW as broken, once. */
 static inline void
--- a/src/flow/flow_core.h
+++ b/src/flow/flow_core.h
@@ -23,7 +23,7 @@
     uint64_t seed;
     uint32_t buckets;          /* of a pool's map, a power of two: 4096 */
     uint32_t steered_flows;    /* steered slices of 1024: 16 */
-    uint32_t steered_balance;  /* steered slices of 1024: 128 */
+    uint32_t steered_balance;  /* steered slices of 1024: 64 */
     uint32_t slack_flows;      /* load above the least loaded target from
                                      which a flow is steered, in 1/1000 of the
                                      mean: 20 */
