--- a/src/flow/flow_copy.c
+++ b/src/flow/flow_copy.c
@@ -14,8 +14,8 @@
 static void prepare_bucket(struct flow_pool *, uint32_t bucket);
 static void send_records(struct flow_core *, struct flow_pool *,
                          struct flow_replica *);
-static void take_records(struct flow_pool *, const GArray *, guint from,
-                         uint32_t now_s, bool merge);
+static guint take_records(struct flow_pool *, const GArray *, guint from,
+                          uint32_t now_s, bool merge);
 static void take_merge(struct flow_core *, struct flow_pool *,
                        const struct flow_message *);
 
@@ -309,8 +309,12 @@
     }
 }
 
-/* Take records from index FROM on; a merge adds only unknown flows. */
-static void
+/*
+ * Take records from index FROM on; a merge adds only unknown flows.  Returns
+ * the index of the first one that was not taken, since the map that has come
+ * here does not know its target yet: it is not acknowledged and comes again.
+ */
+static guint
 take_records(struct flow_pool *pool, const GArray *records, guint from,
              uint32_t now_s, bool merge)
 {
@@ -330,7 +334,10 @@
             continue;
         }
         target &= (uint16_t)~FLOW_RECORD_UDP;
-        if (target >= pool->slots->len || (merge && entry != NULL)) {
+        if (target >= pool->slots->len) {
+            return i;
+        }
+        if (merge && entry != NULL) {
             continue;
         }
         if (entry == NULL) {
@@ -343,6 +350,7 @@
             entry->flags |= FLOW_ENTRY_UDP;
         }
     }
+    return records == NULL ? from : records->len;
 }
 
 /* What a deposed lead opened and had not copied. */
@@ -393,10 +401,11 @@
     }
     if (message->position <= pool->in_position &&
         message->position + count > pool->in_position) {
-        take_records(pool, message->records,
-                     (guint)(pool->in_position - message->position),
-                     flow_now_s(core), false);
-        pool->in_position = message->position + count;
+        pool->in_position =
+            message->position +
+            take_records(pool, message->records,
+                         (guint)(pool->in_position - message->position),
+                         flow_now_s(core), false);
     }
     ack = flow_send(core, from, FLOW_MSG_COPY_ACK, pool->id);
     ack->epoch = message->epoch;
--- a/src/flow/flow_map.c
+++ b/src/flow/flow_map.c
@@ -121,6 +121,12 @@
         };
 
         if (i < pool->slots->len) {
+            const struct target_key *former = &flow_slot_at(pool, i)->key;
+
+            if (former->address != slot.key.address ||
+                former->incarnation != slot.key.incarnation) {
+                flow_table_clear(&pool->table); /* of another first lead */
+            }
             *flow_slot_at(pool, i) = slot;
         }
         else {
