Compare targets by bucket; look at all of them rarely

Cause: at the rates designed for, the core's share grew by 0.00036 % for each daemon (with 7.3 targets each): 3.6 % of a core at 10,000 daemons. Each comparison of stamps went through all targets, 16 times over.

Change: targets are also listed by bucket, so that a comparison touches the buckets that differ alone; all targets are looked at every second only while a holder is gone, else every 10 s.

--- a/src/daemon/control_private.h
+++ b/src/daemon/control_private.h
@@ -25,7 +25,7 @@
     struct quorum_core *quorum;
     struct store *store;
     struct table_core *tables;
-    GHashTable *waiting;          /* request -> struct control_wait */
+    GHashTable *waiting; /* request -> struct control_wait */
     uint64_t next_request;
     bool leading; /* leads, and has applied all that was committed before */
 };
--- a/src/member/spread.c
+++ b/src/member/spread.c
@@ -57,6 +57,9 @@
         g_hash_table_new_full(g_int_hash, g_int_equal, NULL, g_free);
     core->holders = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
                                           spread_holder_free);
+    for (size_t i = 0; i < SPREAD_BUCKETS; i++) {
+        core->buckets[i] = g_ptr_array_new();
+    }
     core->mine = g_hash_table_new(g_direct_hash, g_direct_equal);
     core->pending = g_ptr_array_new();
     core->expired = g_ptr_array_new();
@@ -80,6 +83,9 @@
     g_ptr_array_free(core->expired, TRUE);
     g_ptr_array_free(core->pending, TRUE);
     g_hash_table_destroy(core->mine);
+    for (size_t i = 0; i < SPREAD_BUCKETS; i++) {
+        g_ptr_array_free(core->buckets[i], TRUE);
+    }
     g_hash_table_destroy(core->holders);
     g_hash_table_destroy(core->targets);
     g_ptr_array_free(core->jobs, TRUE);
--- a/src/member/spread_expiry.c
+++ b/src/member/spread_expiry.c
@@ -8,7 +8,7 @@
 static bool is_usable(struct spread_core *, const struct spread_held *);
 static void tell(struct spread_core *, const struct spread_target *);
 static void expire_mine(struct spread_core *);
-static void look_at_all(struct spread_core *);
+static bool look_at_all(struct spread_core *);
 static bool is_forgotten(struct spread_core *, const struct spread_held *);
 static bool is_told_same(const struct spread_target *,
                          const struct spread_target *);
@@ -115,23 +115,30 @@
     return !holder->live && core->now_us - holder->gone_us > kept_us;
 }
 
-/* Look at every target: its holder may be gone, or it may be forgotten. */
-static void
+/*
+ * Look at every target: its holder may be gone, or it may be forgotten.  True
+ * if some holder is gone, and a look is due again soon.
+ */
+static bool
 look_at_all(struct spread_core *core)
 {
     GHashTableIter iter;
     gpointer value;
+    bool orphans = false;
 
     g_hash_table_iter_init(&iter, core->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct spread_held *held = value;
 
         spread_show(core, held);
+        orphans |= held->target.view.state != TARGET_DOWN &&
+                   !spread_holder(core, held->target.holder)->live;
         if (is_forgotten(core, held)) {
             spread_uncount(core, held);
             g_hash_table_iter_remove(&iter);
         }
     }
+    return orphans;
 }
 
 /* The view has changed: note which holders are gone and which are back. */
@@ -169,7 +176,9 @@
     core->expiry_us = core->now_us + EXPIRY_MS * US_PER_MS;
     expire_mine(core);
     if (core->now_us >= core->look_us) {
-        core->look_us = core->now_us + LOOK_MS * US_PER_MS;
-        look_at_all(core);
+        bool soon = look_at_all(core);
+
+        core->look_us =
+            core->now_us + (soon ? LOOK_MS : LOOK_RARELY_MS) * US_PER_MS;
     }
 }
--- a/src/member/spread_priv.h
+++ b/src/member/spread_priv.h
@@ -12,7 +12,8 @@
 #define JOB_LIFE_MS       15000 /* without a word from the parent */
 #define REPORT_MS         100   /* between reports of partial progress */
 #define EXPIRY_MS         250   /* between looks for expired targets */
-#define LOOK_MS           1000  /* between looks at all targets */
+#define LOOK_MS           1000  /* between looks at all targets, */
+#define LOOK_RARELY_MS    10000 /* and while all holders are live */
 #define GONE_KEPT_MS      60000 /* targets of a dead holder, past life */
 #define SYNC_BUCKETS_MAX  16    /* compared after one pair of digests */
 #define BUCKET_BITS       8
@@ -94,12 +95,13 @@
     bool view_changed; /* since the leader last looked */
     uint64_t reopen_us, need_us, fetch_us, sync_us, batch_us, refresh_us,
         expiry_us, look_us;
-    GPtrArray *jobs;     /* struct spread_job */
-    GHashTable *targets; /* struct spread_held by address */
-    GHashTable *holders; /* struct spread_holder by id */
-    GHashTable *mine;    /* struct spread_held held by this daemon */
-    GPtrArray *pending;  /* struct spread_held to be spread */
-    GPtrArray *expired;  /* those found in one look */
+    GPtrArray *jobs;                    /* struct spread_job */
+    GHashTable *targets;                /* struct spread_held by address */
+    GPtrArray *buckets[SPREAD_BUCKETS]; /* the same by hash of address */
+    GHashTable *holders;                /* struct spread_holder by id */
+    GHashTable *mine;   /* struct spread_held held by this daemon */
+    GPtrArray *pending; /* struct spread_held to be spread */
+    GPtrArray *expired; /* those found in one look */
     uint32_t digests[SPREAD_BUCKETS];
     uint32_t target_count; /* those in the digests */
     GPtrArray *scratch;    /* GBytes that actions borrow from */
--- a/src/member/spread_sync.c
+++ b/src/member/spread_sync.c
@@ -19,6 +19,10 @@
 static void send_digest(struct spread_core *, struct daemon_id);
 static void send_stamps(struct spread_core *, struct daemon_id, unsigned bits,
                         unsigned bucket, GArray *stamps, bool request);
+static GArray *collect_stamps(const struct spread_core *, unsigned bits,
+                              unsigned bucket);
+static bool is_lacking(const struct spread_target *,
+                       const struct spread_stamp *, bool request);
 static void send_newer(struct spread_core *, struct daemon_id,
                        const struct spread_message *, GHashTable *theirs);
 static void request_newer(struct spread_core *, struct daemon_id,
@@ -145,41 +149,47 @@
     spread_send(core, to, &message);
 }
 
+/* The stamps of BUCKET among two to BITS; expired targets are left out. */
+static GArray *
+collect_stamps(const struct spread_core *core, unsigned bits, unsigned bucket)
+{
+    unsigned width = 1u << (BUCKET_BITS - bits);
+    GArray *stamps = g_array_new(FALSE, TRUE, sizeof(struct spread_stamp));
+
+    for (unsigned i = bucket * width; i < (bucket + 1) * width; i++) {
+        for (guint j = 0; j < core->buckets[i]->len; j++) {
+            const struct spread_held *held =
+                g_ptr_array_index(core->buckets[i], j);
+            struct spread_stamp stamp = spread_stamp_of(&held->target);
+
+            if (held->target.view.state != TARGET_DOWN) {
+                g_array_append_val(stamps, stamp);
+            }
+        }
+    }
+    return stamps;
+}
+
 /* Answer with the stamps of the buckets that differ, up to a bound. */
 void
 spread_on_digests(struct spread_core *core, struct daemon_id from,
                   const struct spread_message *message)
 {
     unsigned bits = message->u.digests.bits;
-    GArray *stamps[SPREAD_BUCKETS] = {NULL};
     unsigned differing = 0;
-    GHashTableIter iter;
-    gpointer value;
 
     for (unsigned i = 0; i < 1u << bits; i++) {
-        if (message->u.digests.digests[i] != folded_digest(core, bits, i) &&
-            differing < SYNC_BUCKETS_MAX) {
-            stamps[i] = g_array_new(FALSE, TRUE, sizeof(struct spread_stamp));
-            differing++;
-        }
-    }
-    g_hash_table_iter_init(&iter, core->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct spread_target *target =
-            &((struct spread_held *)value)->target;
-        unsigned bucket = spread_bucket(target->view.key.address, bits);
+        GArray *stamps;
 
-        if (stamps[bucket] != NULL && target->view.state != TARGET_DOWN) {
-            struct spread_stamp stamp = spread_stamp_of(target);
-
-            g_array_append_val(stamps[bucket], stamp);
+        if (message->u.digests.digests[i] == folded_digest(core, bits, i)) {
+            continue;
         }
-    }
-    for (unsigned i = 0; i < 1u << bits; i++) {
-        if (stamps[i] != NULL) {
-            send_stamps(core, from, bits, i, stamps[i], false);
-            g_array_free(stamps[i], TRUE);
+        if (differing++ == SYNC_BUCKETS_MAX) {
+            return;
         }
+        stamps = collect_stamps(core, bits, i);
+        send_stamps(core, from, bits, i, stamps, false);
+        g_array_free(stamps, TRUE);
     }
 }
 
@@ -199,39 +209,50 @@
     g_array_set_size(items, 0);
 }
 
+/*
+ * Whether TARGET is to be sent to a daemon that has it as THEIR, or not at
+ * all.  A REQUEST is about the targets that it names alone.
+ */
+static bool
+is_lacking(const struct spread_target *target,
+           const struct spread_stamp *their, bool request)
+{
+    struct spread_stamp own = spread_stamp_of(target);
+
+    if (their == NULL) {
+        return !request && target->view.state != TARGET_DOWN;
+    }
+    return spread_target_newer(&own, their);
+}
+
 /*
  * Send FROM what it lacks in the bucket, or has older.  THEIRS holds its
- * stamps by address; a request is about these alone.
+ * stamps by address.
  */
 static void
 send_newer(struct spread_core *core, struct daemon_id from,
            const struct spread_message *message, GHashTable *theirs)
 {
+    unsigned width = 1u << (BUCKET_BITS - message->u.stamps.bits);
+    unsigned first = message->u.stamps.bucket * width;
     GArray *items = g_array_new(FALSE, TRUE, sizeof(struct spread_target));
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, core->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct spread_target *target =
-            &((struct spread_held *)value)->target;
-        uint32_t address = target->view.key.address;
-        const struct spread_stamp *their =
-            g_hash_table_lookup(theirs, &address);
-        struct spread_stamp own = spread_stamp_of(target);
-
-        if (spread_bucket(address, message->u.stamps.bits) !=
-            message->u.stamps.bucket) {
-            continue;
-        }
-        if (their == NULL ? message->u.stamps.request ||
-                                target->view.state == TARGET_DOWN
-                          : !spread_target_newer(&own, their)) {
-            continue;
-        }
-        g_array_append_val(items, *target);
-        if (items->len == SPREAD_TARGETS_MAX) {
-            flush_targets(core, from, items);
+
+    for (unsigned i = first; i < first + width; i++) {
+        for (guint j = 0; j < core->buckets[i]->len; j++) {
+            const struct spread_held *held =
+                g_ptr_array_index(core->buckets[i], j);
+            const struct spread_target *target = &held->target;
+
+            if (!is_lacking(
+                    target,
+                    g_hash_table_lookup(theirs, &target->view.key.address),
+                    message->u.stamps.request)) {
+                continue;
+            }
+            g_array_append_val(items, *target);
+            if (items->len == SPREAD_TARGETS_MAX) {
+                flush_targets(core, from, items);
+            }
         }
     }
     flush_targets(core, from, items);
--- a/src/member/spread_target.c
+++ b/src/member/spread_target.c
@@ -79,6 +79,9 @@
     toggle_digest(core, held);
     core->target_count -= held->target.view.state != TARGET_DOWN;
     g_hash_table_remove(core->mine, held);
+    g_ptr_array_remove_fast(core->buckets[spread_bucket(
+                                held->target.view.key.address, BUCKET_BITS)],
+                            held);
 }
 
 /* The holder ID, made known if it was not. */
@@ -116,6 +119,7 @@
 
     held->target.view.key.address = address;
     g_hash_table_insert(core->targets, &held->target.view.key.address, held);
+    g_ptr_array_add(core->buckets[spread_bucket(address, BUCKET_BITS)], held);
     return held;
 }
 
