--- a/bench/bench_control_model.c
+++ b/bench/bench_control_model.c
@@ -11,76 +11,10 @@
 
 #include <glib.h>
 
-#include "member/member.h"
-#include "member/spread.h"
+#include "control_model.h"
 #include "peer/member_wire.h"
 #include "peer/spread_wire.h"
 
-#define TICK_US      50000
-#define DELAY_US     1500
-#define SETTLE_S     20
-#define MEASURE_S    30
-#define UDP_HEADERS  28 /* bytes of IPv4 and UDP */
-#define TCP_HEADERS  44 /* bytes of IPv4, TCP and the frame's length */
-#define EDIT_BYTES   300
-#define ANNOUNCE_S   3
-#define LIFE_MS      10000
-#define BASE_ADDRESS 0x0a000000u
-#define ZONES        ((size_t)8)
-
-/*
- * The size that is designed for: 10,000 daemons, 73,000 targets, 5,300 pools,
- * 12,000 edits, 330 failures and 17,000 restarts a day.  Sizes are per daemon;
- * rates are those of the whole system at any number of daemons.  A restart is
- * counted twice: as a daemon's, and as four changes of a target.
- */
-#define DESIGN_TARGETS        7.3
-#define DESIGN_POOLS          0.53
-#define DESIGN_EDITS_PER_S    (12000.0 / 86400)
-#define DESIGN_RESTARTS_PER_S (17330.0 / 86400)
-#define DESIGN_CHANGES_PER_S  (4 * DESIGN_RESTARTS_PER_S)
-
-/* One run: its sizes, and what it measured. */
-struct run {
-    size_t daemons, zones, targets, pools;
-    double edits_per_s, changes_per_s, restarts_per_s;
-    double bytes_per_s;     /* sent by a daemon, headers included */
-    double max_bytes_per_s; /* by the busiest one */
-    double core_percent;
-    double kb; /* of memory for each daemon */
-    double in_force_ms;
-    double in_force_max_ms;
-};
-
-struct packet {
-    uint32_t to, from;
-    bool is_member;
-    GByteArray *bytes;
-};
-
-struct node {
-    char name[32], zone[32];
-    struct member_core *member;
-    struct spread_core *spread;
-    uint64_t bytes;
-    uint64_t incarnation;
-};
-
-struct model {
-    struct run *run;
-    struct node *nodes;
-    GHashTable *by_id;
-    GArray *now_packets, *next_packets;
-    GRand *rand;
-    uint64_t now_us;
-    uint64_t committed, committed_us;
-    bool leading;
-    uint32_t *target_changes;
-    GArray *in_force_ms;
-    struct member_actions member_actions;
-    struct spread_actions spread_actions;
-};
-
 static void start_node(struct model *, size_t);
 static void post(struct model *, size_t from, size_t to, bool is_member,
                  GByteArray *);
@@ -93,7 +27,13 @@
 static void announce(struct model *, size_t target);
 static void commit(struct model *);
 static void tick(struct model *, uint64_t tick);
+static void simulate_ticks(struct model *, uint64_t ticks);
 static void simulate(struct model *, unsigned seconds);
+static void open_model(struct model *);
+static void close_model(struct model *);
+static uint64_t detect(struct model *, size_t);
+static int compare_ms(const void *, const void *);
+static void run_detection(void);
 static double used_kb(void);
 static void measure(struct run *);
 static double slope(const double *x, const double *y, size_t count);
@@ -167,6 +107,9 @@
     struct member_actions *actions = &model->member_actions;
     bool changed = false;
 
+    if (model->nodes[index].member == NULL) {
+        return;
+    }
     actions->count = 0;
     member_core_step(model->nodes[index].member, model->now_us, event,
                      actions);
@@ -205,6 +148,9 @@
 {
     struct spread_actions actions = {0};
 
+    if (model->nodes[index].spread == NULL) {
+        return;
+    }
     spread_core_step(model->nodes[index].spread, model->now_us, event,
                      &actions);
     for (size_t i = 0; i < actions.count; i++) {
@@ -341,14 +287,12 @@
 
 /* Messages travel for DELAY_US; those of one tick arrive before the next. */
 static void
-simulate(struct model *model, unsigned seconds)
+simulate_ticks(struct model *model, uint64_t ticks)
 {
-    uint64_t ticks = (uint64_t)seconds * 1000000 / TICK_US;
-
     for (uint64_t i = 0; i < ticks; i++) {
         uint64_t start_us = model->now_us;
 
-        tick(model, i);
+        tick(model, start_us / TICK_US);
         while (model->next_packets->len > 0 &&
                model->now_us + DELAY_US < start_us + TICK_US) {
             model->now_us += DELAY_US;
@@ -358,37 +302,74 @@
     }
 }
 
-/* Run the model at RUN's sizes and fill in what it measures. */
 static void
-measure(struct run *run)
+simulate(struct model *model, unsigned seconds)
 {
-    struct model model = {.run = run, .now_us = 1000000};
-    struct spread_event lead = {.kind = SPREAD_EV_LEAD};
-    double before_kb = used_kb();
-    uint64_t total = 0;
-    uint64_t busiest = 0;
-    clock_t clocks;
+    simulate_ticks(model, (uint64_t)seconds * 1000000 / TICK_US);
+}
 
-    model.nodes = g_new0(struct node, run->daemons);
-    model.by_id =
+/* Start all daemons of a new model of MODEL's run. */
+static void
+open_model(struct model *model)
+{
+    struct run *run = model->run;
+
+    model->now_us = 1000000;
+    model->nodes = g_new0(struct node, run->daemons);
+    model->by_id =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    model.now_packets = g_array_new(FALSE, FALSE, sizeof(struct packet));
-    model.next_packets = g_array_new(FALSE, FALSE, sizeof(struct packet));
-    model.in_force_ms = g_array_new(FALSE, FALSE, sizeof(double));
-    model.rand = g_rand_new_with_seed(7);
-    model.target_changes = g_new0(uint32_t, run->targets);
+    model->now_packets = g_array_new(FALSE, FALSE, sizeof(struct packet));
+    model->next_packets = g_array_new(FALSE, FALSE, sizeof(struct packet));
+    model->in_force_ms = g_array_new(FALSE, FALSE, sizeof(double));
+    model->rand = g_rand_new_with_seed(7);
+    model->target_changes = g_new0(uint32_t, run->targets);
     for (size_t i = 0; i < run->daemons; i++) {
-        struct node *node = &model.nodes[i];
+        struct node *node = &model->nodes[i];
         uint64_t id;
 
         snprintf(node->name, sizeof(node->name), "daemon-%zu", i);
         snprintf(node->zone, sizeof(node->zone), "zone-%zu", i % run->zones);
         id = view_daemon_id(node->name).value;
-        g_hash_table_insert(model.by_id, g_memdup2(&id, sizeof(id)),
+        g_hash_table_insert(model->by_id, g_memdup2(&id, sizeof(id)),
                             g_memdup2(&i, sizeof(i)));
-        start_node(&model, i);
+        start_node(model, i);
+    }
+    simulate(model, SETTLE_S);
+}
+
+static void
+close_model(struct model *model)
+{
+    for (size_t i = 0; i < model->run->daemons; i++) {
+        member_core_free(model->nodes[i].member);
+        spread_core_free(model->nodes[i].spread);
     }
-    simulate(&model, SETTLE_S);
+    for (guint i = 0; i < model->next_packets->len; i++) {
+        g_byte_array_free(
+            g_array_index(model->next_packets, struct packet, i).bytes, TRUE);
+    }
+    g_array_free(model->now_packets, TRUE);
+    g_array_free(model->next_packets, TRUE);
+    g_array_free(model->in_force_ms, TRUE);
+    g_hash_table_destroy(model->by_id);
+    g_rand_free(model->rand);
+    g_free(model->target_changes);
+    g_free(model->nodes);
+    member_actions_clear(&model->member_actions);
+}
+
+/* Run the model at RUN's sizes and fill in what it measures. */
+static void
+measure(struct run *run)
+{
+    struct model model = {.run = run};
+    struct spread_event lead = {.kind = SPREAD_EV_LEAD};
+    double before_kb = used_kb();
+    uint64_t total = 0;
+    uint64_t busiest = 0;
+    clock_t clocks;
+
+    open_model(&model);
     lead.u.lead.term = 1;
     lead.u.lead.leading = true;
     spread_step(&model, 0, &lead);
@@ -403,8 +384,6 @@
     for (size_t i = 0; i < run->daemons; i++) {
         total += model.nodes[i].bytes;
         busiest = MAX(busiest, model.nodes[i].bytes);
-        member_core_free(model.nodes[i].member);
-        spread_core_free(model.nodes[i].spread);
     }
     run->bytes_per_s = (double)total / MEASURE_S / (double)run->daemons;
     run->max_bytes_per_s = (double)busiest / MEASURE_S;
@@ -416,18 +395,64 @@
         run->in_force_ms += ms / model.in_force_ms->len;
         run->in_force_max_ms = MAX(run->in_force_max_ms, ms);
     }
-    for (guint i = 0; i < model.next_packets->len; i++) {
-        g_byte_array_free(
-            g_array_index(model.next_packets, struct packet, i).bytes, TRUE);
+    close_model(&model);
+}
+
+/* Kill daemon VICTIM; the time in ms until all others see it dead. */
+static uint64_t
+detect(struct model *model, size_t victim)
+{
+    struct node *node = &model->nodes[victim];
+    uint64_t start_us = model->now_us;
+    bool seen = false;
+
+    member_core_free(node->member);
+    spread_core_free(node->spread);
+    node->member = NULL;
+    node->spread = NULL;
+    while (!seen && model->now_us - start_us < 60000000) {
+        simulate_ticks(model, 1);
+        seen = true;
+        for (size_t i = 0; i < model->run->daemons; i++) {
+            if (model->nodes[i].member != NULL) {
+                seen &=
+                    member_core_counters(model->nodes[i].member)->gauge_dead ==
+                    1;
+            }
+        }
+    }
+    return (model->now_us - start_us) / 1000;
+}
+
+static int
+compare_ms(const void *a, const void *b)
+{
+    uint64_t left = *(const uint64_t *)a;
+    uint64_t right = *(const uint64_t *)b;
+
+    return left < right ? -1 : left > right;
+}
+
+/* How long it takes until all see that a daemon was killed. */
+static void
+run_detection(void)
+{
+    struct run run = {.daemons = 8, .zones = 4, .targets = 18, .pools = 2};
+    struct model model = {.run = &run};
+    uint64_t ms[DETECTIONS];
+
+    open_model(&model);
+    for (size_t i = 0; i < DETECTIONS; i++) {
+        ms[i] = detect(&model, i % run.daemons);
+        start_node(&model, i % run.daemons);
+        simulate(&model, SETTLE_S + (unsigned)i % 7);
     }
-    g_array_free(model.now_packets, TRUE);
-    g_array_free(model.next_packets, TRUE);
-    g_array_free(model.in_force_ms, TRUE);
-    g_hash_table_destroy(model.by_id);
-    g_rand_free(model.rand);
-    g_free(model.target_changes);
-    g_free(model.nodes);
-    member_actions_clear(&model.member_actions);
+    close_model(&model);
+    qsort(ms, DETECTIONS, sizeof(ms[0]), compare_ms);
+    printf("control_model.detect_ms_p50 %lu ms\n",
+           (unsigned long)ms[DETECTIONS / 2]);
+    printf("control_model.detect_ms_p99 %lu ms\n",
+           (unsigned long)ms[DETECTIONS * 99 / 100]);
 }
 
 /* The slope of the least-squares line through COUNT points. */
@@ -531,6 +556,7 @@
 
     const double design[] = {64, 128, 256, 512};
 
+    run_detection();
     run_series("daemons", daemons, 4);
     run_series("targets", targets, 4);
     run_series("pools", pools, 4);
