Keep answered records over a second crash of the store

All three are mended: the end is kept, a segment without a record is removed, the mark is made up for on opening.

--- a/src/quorum/quorum_core.c
+++ b/src/quorum/quorum_core.c
@@ -122,6 +122,11 @@
         quorum_log_append(&core->log, stored->entries->pdata[i]);
     }
     core->stored = quorum_log_last(&core->log);
+    if (core->hard.term < quorum_log_last_term(&core->log)) {
+        core->hard.term = quorum_log_last_term(&core->log);
+        core->hard.vote = core->options.self; /* none to give in this term */
+        core->hard_dirty = true;
+    }
 }
 
 /* Free CORE; NULL is allowed. */
--- a/src/quorum/storage.c
+++ b/src/quorum/storage.c
@@ -15,13 +15,20 @@
 #define SEGMENT_BYTES (4U << 20)
 #define RESERVE_BYTES (16U << 20)
 
+static void add_frames(struct storage *, const struct quorum_record *, size_t,
+                       GByteArray *);
 static void clear_covered(struct storage *, uint64_t snapshot);
 static bool give_up(struct storage *, GError **, const char *);
+static struct storage_segment *last_segment(struct storage *);
 static bool lock_folder(struct storage *, GError **);
-static bool prepare(struct storage *, const struct quorum_record *, size_t,
-                    GByteArray *, GError **);
+static bool mark_snapshot(struct storage *, const struct quorum_stored *,
+                          GError **);
 static int system_sync(void *, int);
 static ssize_t system_write(void *, int, const void *, size_t);
+static bool write_frames(struct storage *, const struct quorum_record *,
+                         size_t, GError **);
+static bool write_run(struct storage *, const struct quorum_record *, size_t,
+                      GError **);
 
 static const struct storage_io system_io = {
     .write = system_write,
@@ -96,7 +103,8 @@
         g_array_new(FALSE, FALSE, sizeof(struct storage_segment));
     storage->snapshots = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     if (lock_folder(storage, error) &&
-        storage_recover(storage, stored, report, error)) {
+        storage_recover(storage, stored, report, error) &&
+        mark_snapshot(storage, stored, error)) {
         return storage;
     }
     storage_close(storage);
@@ -125,13 +133,12 @@
     g_free(storage);
 }
 
-/* Put the frames of RECORDS into BYTES; snapshots get files of their own. */
-static bool
-prepare(struct storage *storage, const struct quorum_record *records,
-        size_t count, GByteArray *bytes, GError **error)
+/* Append the frames of RECORDS, which will be written next, to BYTES. */
+static void
+add_frames(struct storage *storage, const struct quorum_record *records,
+           size_t count, GByteArray *bytes)
 {
-    struct storage_segment *segment = &g_array_index(
-        storage->segments, struct storage_segment, storage->segments->len - 1);
+    struct storage_segment *segment = last_segment(storage);
 
     for (size_t i = 0; i < count; i++) {
         const struct quorum_record *record = &records[i];
@@ -145,18 +152,21 @@
                 MAX(segment->last_entry, record->u.entry->index);
             break;
         case QUORUM_RECORD_SNAPSHOT:
-            if (!storage_snapshot_write(storage, record->u.snapshot, error)) {
-                return false;
-            }
-            break;
         case QUORUM_RECORD__MAX:
-            continue;
+            break;
         }
         storage_frame_add(bytes, segment->sequence,
                           storage->offset + bytes->len, storage->offset,
                           record);
     }
-    return true;
+}
+
+/* The segment that is written to. */
+static struct storage_segment *
+last_segment(struct storage *storage)
+{
+    return &g_array_index(storage->segments, struct storage_segment,
+                          storage->segments->len - 1);
 }
 
 /*
@@ -184,18 +194,81 @@
     return false;
 }
 
+/* Write the frames of RECORDS to the segment and sync it. */
+static bool
+write_frames(struct storage *storage, const struct quorum_record *records,
+             size_t count, GError **error)
+{
+    GByteArray *bytes = g_byte_array_new();
+    bool done = true;
+
+    add_frames(storage, records, count, bytes);
+    if (!storage_write_all(storage, storage->file, bytes->data, bytes->len)) {
+        done = give_up(storage, error, "write");
+    }
+    else if (storage->io.sync(storage->io.data, storage->file) != 0) {
+        done = give_up(storage, error, "sync");
+    }
+    else {
+        storage->offset += bytes->len;
+    }
+    g_byte_array_unref(bytes);
+    return done;
+}
+
+/* Store RECORDS; a snapshot may only be the first, and gets its file before. */
+static bool
+write_run(struct storage *storage, const struct quorum_record *records,
+          size_t count, GError **error)
+{
+    const struct quorum_snapshot *snapshot =
+        records[0].kind == QUORUM_RECORD_SNAPSHOT ? records[0].u.snapshot
+                                                  : NULL;
+
+    if (snapshot != NULL &&
+        !storage_snapshot_write(storage, snapshot, error)) {
+        return give_up(storage, error, NULL);
+    }
+    if (!write_frames(storage, records, count, error)) {
+        return false;
+    }
+    if (snapshot != NULL) {
+        clear_covered(storage, snapshot->index);
+    }
+    return true;
+}
+
+/*
+ * A crash may have left a snapshot's file without its mark in the log.  Then
+ * the mark is made up for, or entries behind it would later be taken for the
+ * continuation of those that the snapshot replaced.
+ */
+static bool
+mark_snapshot(struct storage *storage, const struct quorum_stored *stored,
+              GError **error)
+{
+    struct quorum_record record = {
+        .kind = QUORUM_RECORD_SNAPSHOT,
+        .u.snapshot = stored->snapshot,
+    };
+
+    if (stored->snapshot == NULL ||
+        storage->marked >= stored->snapshot->index) {
+        return true;
+    }
+    return write_frames(storage, &record, 1, error);
+}
+
 /*
- * Store RECORDS in order.  True once all of them last.  After an error no
- * call succeeds again: close, open again, and go on from what that finds.
+ * Store RECORDS in order.  True once all of them last; otherwise some first
+ * part of them may.  After an error no call succeeds again: close, open
+ * again, and go on from what that finds.
  */
 bool
 storage_write(struct storage *storage, const struct quorum_record *records,
               size_t count, GError **error)
 {
-    GByteArray *bytes;
-    uint64_t snapshot = 0;
-    uint64_t sequence;
-    bool done = true;
+    size_t start = 0;
 
     if (storage->failed) {
         g_set_error(error, ERR_DOMAIN, ERR_STORAGE,
@@ -204,40 +277,26 @@
                     storage->path);
         return false;
     }
-    sequence = g_array_index(storage->segments, struct storage_segment,
-                             storage->segments->len - 1)
-                   .sequence;
     if (storage->offset >= storage->segment_bytes &&
-        !storage_segment_open(storage, sequence + 1, error)) {
+        !storage_segment_open(storage, last_segment(storage)->sequence + 1,
+                              error)) {
         storage->failed = true;
         return false;
     }
-    bytes = g_byte_array_new();
-    if (!prepare(storage, records, count, bytes, error)) {
-        done = give_up(storage, error, NULL);
-    }
-    else if (!storage_write_all(storage, storage->file, bytes->data,
-                                bytes->len)) {
-        done = give_up(storage, error, "write");
-    }
-    else if (storage->io.sync(storage->io.data, storage->file) != 0) {
-        done = give_up(storage, error, "sync");
-    }
-    if (done) {
-        storage->offset += bytes->len;
-        for (size_t i = 0; i < count; i++) {
-            if (records[i].kind == QUORUM_RECORD_SNAPSHOT) {
-                snapshot = records[i].u.snapshot->index;
-            }
+    for (size_t i = 1; i <= count; i++) {
+        if (i < count && records[i].kind != QUORUM_RECORD_SNAPSHOT) {
+            continue;
+        }
+        if (!write_run(storage, records + start, i - start, error)) {
+            return false;
         }
-        clear_covered(storage, snapshot);
+        start = i;
     }
-    g_byte_array_unref(bytes);
-    return done;
+    return true;
 }
 
 /*
- * Remove the files that the stored SNAPSHOT, 0 for none, makes needless.
+ * Remove the files that the stored SNAPSHOT makes needless.
  * That it fails is no error: opening passes over such files.
  */
 static void
@@ -246,7 +305,7 @@
     GArray *segments = storage->segments;
     char name[STORAGE_NAME_MAX];
 
-    if (snapshot == 0 || snapshot <= storage->snapshot) {
+    if (snapshot <= storage->snapshot) {
         return;
     }
     if (storage->snapshot != 0) {
--- a/src/quorum/storage_recover.c
+++ b/src/quorum/storage_recover.c
@@ -75,13 +75,17 @@
     return true;
 }
 
-/* Read all segments; a last one whose making was cut off is removed. */
+/*
+ * Read all segments.  A last one without a record is removed: its making was
+ * cut off, and without the hard state the older ones could not go.
+ */
 static bool
 read_segments(struct storage *storage, struct quorum_stored *stored,
               struct storage_report *report, GError **error)
 {
     GArray *segments = storage->segments;
     char name[STORAGE_NAME_MAX];
+    uint64_t end_before = 0; /* of the segment before the last */
 
     for (guint i = 0; i < segments->len; i++) {
         struct storage_segment *segment =
@@ -97,13 +101,14 @@
                         storage->path, name);
             return false;
         }
+        end_before = storage->offset;
         if (!storage_segment_read(storage, segment, is_last, stored, report,
                                   error)) {
             return false;
         }
         report->segments++;
     }
-    if (segments->len > 0 && storage->offset < STORAGE_SEGMENT_FIRST) {
+    if (segments->len > 0 && storage->offset <= STORAGE_SEGMENT_FIRST) {
         storage_segment_name(
             g_array_index(segments, struct storage_segment, segments->len - 1)
                 .sequence,
@@ -111,7 +116,7 @@
         unlinkat(storage->folder, name, 0);
         g_array_set_size(segments, segments->len - 1);
         report->segments--;
-        storage->offset = 0;
+        storage->offset = end_before;
     }
     return true;
 }
--- /dev/null
+++ b/tests/property/prop_quorum_storage.cc
@@ -0,0 +1,292 @@
+/*
+ * Generated runs of writes to the log's files, cut off at any byte, again and
+ * again: opening always finds the state after some first part of the records,
+ * with all that was answered for in it.
+ */
+#include <cerrno>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <rapidcheck.h>
+
+extern "C" {
+#include "quorum/storage.h"
+}
+
+/* What one batch holds. */
+struct Batch {
+    int hard;     /* 0 for no hard state, else what is added to the term */
+    int entries;  /* to append */
+    int replaced; /* entries at the end that they take the place of */
+    int snapshot; /* 0 none; 1 behind the entries; 2 past them; 3 conflicting */
+    int more;     /* entries behind the snapshot */
+};
+
+namespace rc {
+template <> struct Arbitrary<Batch> {
+    static Gen<Batch>
+    arbitrary()
+    {
+        return gen::build<Batch>(
+            gen::set(&Batch::hard,
+                     gen::weightedElement<int>({{3, 0}, {1, 1}})),
+            gen::set(&Batch::entries, gen::inRange(0, 5)),
+            gen::set(&Batch::replaced,
+                     gen::weightedElement<int>({{4, 0}, {1, 2}, {1, 4}})),
+            gen::set(&Batch::snapshot, gen::weightedElement<int>(
+                                           {{8, 0}, {3, 1}, {1, 2}, {1, 3}})),
+            gen::set(&Batch::more, gen::inRange(0, 3)));
+    }
+};
+} // namespace rc
+
+static std::ostream &
+operator<<(std::ostream &out, const Batch &b)
+{
+    return out << "{hard " << b.hard << " entries " << b.entries
+               << " replaced " << b.replaced << " snapshot " << b.snapshot
+               << " more " << b.more << "}";
+}
+
+static std::string folder;
+
+/* The bytes that may still be written. */
+static int64_t left;
+
+static ssize_t
+cut_write(void *, int fd, const void *bytes, size_t len)
+{
+    size_t part = left < (int64_t)len ? (size_t)left : len;
+    ssize_t done = part > 0 ? write(fd, bytes, part) : 0;
+
+    left -= (int64_t)part;
+    if (part == len) {
+        return done;
+    }
+    errno = EIO;
+    return -1;
+}
+
+static int
+no_sync(void *, int)
+{
+    return 0;
+}
+
+static std::string
+describe(const quorum_stored &stored)
+{
+    std::string text = "term " + std::to_string(stored.hard.term);
+
+    if (stored.snapshot != nullptr) {
+        text += " snapshot " + std::to_string(stored.snapshot->index) + "/" +
+                std::to_string(stored.snapshot->term);
+    }
+    for (guint i = 0; i < stored.entries->len; i++) {
+        const quorum_entry *entry =
+            (const quorum_entry *)stored.entries->pdata[i];
+
+        text += " " + std::to_string(entry->index) + "/" +
+                std::to_string(entry->term);
+    }
+    return text;
+}
+
+/* The records of BATCH behind the state MODEL, which takes them in. */
+struct Records {
+    std::vector<quorum_record> items;
+    std::vector<std::string> states;
+
+    void
+    add(quorum_stored &model, const quorum_record &record)
+    {
+        quorum_stored_take(&model, &record);
+        items.push_back(record);
+        states.push_back(describe(model));
+    }
+
+    static uint64_t
+    base(const quorum_stored &model)
+    {
+        return model.snapshot != nullptr ? model.snapshot->index : 0;
+    }
+
+    static uint64_t
+    last(const quorum_stored &model)
+    {
+        return base(model) + model.entries->len;
+    }
+
+    void
+    append(quorum_stored &model, uint64_t index)
+    {
+        quorum_record record = {};
+
+        record.kind = QUORUM_RECORD_ENTRY;
+        record.u.entry =
+            quorum_entry_new(index, model.hard.term, QUORUM_ENTRY_NOOP);
+        add(model, record);
+    }
+
+    void
+    snapshot(quorum_stored &model, int kind)
+    {
+        quorum_record record = {};
+        GBytes *data = g_bytes_new("state", 5);
+        uint64_t index = last(model);
+        uint64_t term = model.hard.term;
+
+        if (kind == 1 && model.entries->len > 1) { /* the log goes on */
+            const quorum_entry *at =
+                (const quorum_entry *)
+                    model.entries->pdata[model.entries->len / 2];
+
+            index = at->index;
+            term = at->term;
+        }
+        else if (kind == 1 || kind == 2) {
+            index += 3;
+        }
+        else if (index > base(model)) {
+            term += 100; /* no entry has it */
+        }
+        if (index > base(model)) {
+            record.kind = QUORUM_RECORD_SNAPSHOT;
+            record.u.snapshot = quorum_snapshot_new(index, term, data);
+            add(model, record);
+        }
+        g_bytes_unref(data);
+    }
+
+    void
+    build(quorum_stored &model, const Batch &batch)
+    {
+        uint64_t next;
+
+        if (batch.hard != 0 || model.hard.store == 0) {
+            quorum_record record = {};
+
+            record.kind = QUORUM_RECORD_HARD;
+            record.u.hard = model.hard;
+            record.u.hard.store = 7;
+            record.u.hard.term++;
+            add(model, record);
+        }
+        next = last(model) + 1;
+        for (int i = 0; i < batch.entries; i++) {
+            if (i == 0) {
+                next -= std::min<uint64_t>((uint64_t)batch.replaced,
+                                           model.entries->len);
+            }
+            append(model, next++);
+        }
+        if (batch.snapshot != 0) {
+            snapshot(model, batch.snapshot);
+            for (int i = 0; i < batch.more; i++) {
+                append(model, last(model) + 1);
+            }
+        }
+    }
+
+    ~Records()
+    {
+        for (quorum_record &record : items) {
+            quorum_record_clear(&record);
+        }
+    }
+};
+
+static void
+empty_folder()
+{
+    GDir *dir = g_dir_open(folder.c_str(), 0, nullptr);
+    const char *name;
+
+    while (dir != nullptr && (name = g_dir_read_name(dir)) != nullptr) {
+        unlink((folder + "/" + name).c_str());
+    }
+    if (dir != nullptr) {
+        g_dir_close(dir);
+    }
+}
+
+/*
+ * Open the folder, check that it holds one of STATES, and write BATCHES until
+ * LIMIT bytes are written.  STATES is what may be found the next time.
+ */
+static void
+one_life(const std::vector<Batch> &batches, uint64_t segment_bytes,
+         int64_t limit, std::vector<std::string> &states)
+{
+    storage_io io = {cut_write, no_sync, nullptr};
+    storage_options options = {folder.c_str(), segment_bytes, 1, &io};
+    storage_report report;
+    quorum_stored model;
+    GError *error = nullptr;
+    storage *storage;
+    bool found = false;
+
+    left = INT64_MAX;
+    storage = storage_open(&options, &model, &report, &error);
+    if (storage == nullptr) {
+        RC_FAIL(std::string(error->message));
+    }
+    for (const std::string &state : states) {
+        found = found || state == describe(model);
+    }
+    if (!found) {
+        RC_FAIL("found " + describe(model) + ", answered for " +
+                states.front());
+    }
+    states.assign(1, describe(model));
+    left = limit;
+    for (const Batch &batch : batches) {
+        Records records;
+
+        records.build(model, batch);
+        if (records.items.empty()) {
+            continue;
+        }
+        if (!storage_write(storage, records.items.data(), records.items.size(),
+                           nullptr)) {
+            states.insert(states.end(), records.states.begin(),
+                          records.states.end());
+            break;
+        }
+        states.assign(1, describe(model));
+    }
+    quorum_stored_clear(&model);
+    storage_close(storage);
+}
+
+int
+main()
+{
+    char *made = g_dir_make_tmp("parsleyspur-prop-XXXXXX", nullptr);
+    bool passed;
+
+    folder = made;
+    setenv("RC_PARAMS", "max_success=1500 max_size=40 seed=20261204", 0);
+    passed = rc::check("a first part of the records is found", [] {
+        const auto lives =
+            *rc::gen::arbitrary<std::vector<std::vector<Batch>>>();
+        const auto segment = *rc::gen::element<uint64_t>(64, 300, 1 << 20);
+        std::vector<std::string> states = {"term 0"};
+
+        empty_folder();
+        for (size_t i = 0; i < lives.size() && i < 6; i++) {
+            one_life(lives[i], segment, *rc::gen::inRange<int64_t>(0, 3000),
+                     states);
+        }
+        one_life({}, segment, 0, states);
+    });
+    empty_folder();
+    rmdir(made);
+    g_free(made);
+    return passed ? 0 : 1;
+}
