--- a/src/daemon/daemon_packet.c
+++ b/src/daemon/daemon_packet.c
@@ -17,6 +17,7 @@
     uint8_t *data; /* the whole Geneve datagram, in a buffer of ours */
     size_t len;
     struct flow_packet flow;
+    bool batched; /* DATA stays until the batch is flushed */
 };
 
 static void alloc_packets(uv_handle_t *, size_t, uv_buf_t *);
@@ -25,6 +26,9 @@
 static bool relay(struct daemon *, const uint8_t *, size_t,
                   const struct sockaddr_in *);
 static bool decode(struct daemon *, const uint8_t *, size_t, struct passage *);
+static void flush(struct daemon *);
+static void send_on(struct daemon *, const struct passage *, uint32_t address,
+                    uint16_t port);
 static void pass(struct daemon *, const struct passage *);
 static void hand_on(struct daemon *, const struct passage *,
                     const struct flow_verdict *);
@@ -79,6 +83,8 @@
                     (int)settings->geneve_port, uv_strerror(failed));
         return false;
     }
+    uv_fileno((const uv_handle_t *)&daemon->geneve, &daemon->geneve_fd);
+    packet_batch_init(&daemon->batch);
     return true;
 }
 
@@ -112,6 +118,7 @@
         counter_add(&daemon->counters, COUNTER_DROP_MALFORMED, 1);
         return false;
     }
+    passage->batched = false;
     passage->data = (uint8_t *)(uintptr_t)data;
     passage->len = len;
     passage->flow = (struct flow_packet){
@@ -184,7 +191,9 @@
     const struct sockaddr_in *outer = (const struct sockaddr_in *)from;
     struct passage passage;
 
-    (void)flags;
+    if ((flags & UV_UDP_MMSG_FREE) != 0) {
+        flush(daemon);
+    }
     if (len <= 0 || from == NULL) {
         return;
     }
@@ -197,6 +206,7 @@
         return;
     }
     passage.flow.outer_src = ntohl(outer->sin_addr.s_addr);
+    passage.batched = (flags & UV_UDP_MMSG_CHUNK) != 0;
     pass(daemon, &passage);
 }
 
@@ -245,6 +255,34 @@
     }
 }
 
+/* Send what waits; what the socket does not take is counted. */
+static void
+flush(struct daemon *daemon)
+{
+    counter_add(&daemon->counters, COUNTER_DROP_SEND,
+                packet_batch_flush(&daemon->batch, daemon->geneve_fd));
+}
+
+/* Send a packet on, with those of the same turn if its bytes stay. */
+static void
+send_on(struct daemon *daemon, const struct passage *passage, uint32_t address,
+        uint16_t port)
+{
+    struct sockaddr_in to = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(address),
+        .sin_port = htons(port),
+    };
+
+    if (!passage->batched) {
+        daemon_packet_send(daemon, address, port, passage->data, passage->len);
+        return;
+    }
+    counter_add(&daemon->counters, COUNTER_DROP_SEND,
+                packet_batch_add(&daemon->batch, daemon->geneve_fd, &to,
+                                 passage->data, passage->len));
+}
+
 /* Ask the flow core about a packet and do as it says. */
 static void
 pass(struct daemon *daemon, const struct passage *passage)
@@ -259,8 +297,7 @@
         }
         counter_add(&daemon->counters, COUNTER_PACKETS_FORWARDED, 1);
         geneve_set_vni(passage->data, view_pool_vni(verdict.pool));
-        daemon_packet_send(daemon, verdict.address, verdict.port,
-                           passage->data, passage->len);
+        send_on(daemon, passage, verdict.address, verdict.port);
         trace(daemon, passage, SPAN_TARGET, verdict.address);
         break;
     case FLOW_DELIVER:
@@ -268,7 +305,8 @@
             counter_add(&daemon->counters, COUNTER_PACKETS_TARGET, 1);
         }
         counter_add(&daemon->counters, COUNTER_PACKETS_ANSWERED, 1);
-        daemon_packet_to_fabric(daemon, passage->data, passage->len);
+        send_on(daemon, passage, daemon->settings->fabric.address,
+                daemon->settings->fabric.port);
         trace(daemon, passage, SPAN_ANSWER, passage->flow.outer_src);
         break;
     case FLOW_HAND_ON:
--- a/src/daemon/daemon_private.h
+++ b/src/daemon/daemon_private.h
@@ -11,6 +11,7 @@
 #include "base/span.h"
 #include "call/call.h"
 #include "daemon/daemon.h"
+#include "daemon/packet_batch.h"
 #include "edge/geneve.h"
 #include "edge/http.h"
 #include "edge/probe.h"
@@ -77,7 +78,9 @@
     char token[DAEMON_TOKEN_MAX];
 
     uv_udp_t geneve;
+    int geneve_fd;
     uint8_t *geneve_buffer;
+    struct packet_batch batch; /* of the packets of one recvmmsg */
     struct sockaddr_in fabric;
 
     struct member_core *member;
