--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -9,7 +9,8 @@
 #include "base/log.h"
 #include "peer/quorum_wire.h"
 
-#define LOG_FOLDER "log" /* within the data folder */
+#define LOG_FOLDER    "log"   /* within the data folder */
+#define LOOK_EVERY_US 1000000 /* between looks at space and failures */
 
 static void act(struct daemon *, const struct quorum_action *);
 static void send_message(struct daemon *, const struct quorum_action *);
@@ -22,6 +23,10 @@
 static void on_space(void *, bool low);
 static bool open_store(struct daemon *, struct quorum_stored *, GError **);
 static void log_report(const struct storage_report *);
+static bool open_quorum(struct daemon *, GError **);
+static void close_quorum(struct control *);
+static void recover(struct daemon *);
+static void look_after(struct daemon *, uint64_t now_us);
 
 static void
 on_stored(void *user, uint64_t token, bool ok)
@@ -80,47 +85,103 @@
     return true;
 }
 
-/* Start the role, if the settings give it to this daemon. */
-bool
-control_start(struct daemon *daemon, GError **error)
+/* Open the log and make a voter of what it holds. */
+static bool
+open_quorum(struct daemon *daemon, GError **error)
 {
     const struct settings *settings = daemon->settings;
     struct table_core_options tables = {0};
     struct quorum_options options = {
-        .self = daemon->self,
-        .voters = {daemon->self},
-        .voter_count = 1,
-        .seed = hash_pair(daemon->seed, daemon->incarnation)};
+        .self = daemon->self, .voters = {daemon->self}, .voter_count = 1};
+    struct control *control = daemon->control;
     struct quorum_stored stored;
-    struct control *control;
 
-    if (!settings->control) {
-        return true;
-    }
+    options.seed = hash_pair(daemon->seed, daemon_now_us());
     for (size_t i = 0; i < settings->voter_count; i++) {
         options.voters[i] = view_daemon_id(settings->voters[i].name);
         options.voter_count = settings->voter_count;
     }
-    control = g_new0(struct control, 1);
-    daemon->control = control;
-    control->tables = table_core_new(&tables);
-    control->waiting =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    quorum_stored_init(&stored);
     if (!open_store(daemon, &stored, error)) {
         return false;
     }
+    control->tables = table_core_new(&tables);
     control->quorum = quorum_core_new(&options, &stored, daemon_now_us());
     quorum_stored_clear(&stored);
     return true;
 }
 
+static void
+close_quorum(struct control *control)
+{
+    if (control->store != NULL) {
+        store_close(control->store);
+        quorum_core_free(control->quorum);
+        table_core_free(control->tables);
+    }
+    control->store = NULL;
+    control->quorum = NULL;
+    control->tables = NULL;
+}
+
+/* Start the role, if the settings give it to this daemon. */
+bool
+control_start(struct daemon *daemon, GError **error)
+{
+    if (!daemon->settings->control) {
+        return true;
+    }
+    daemon->control = g_new0(struct control, 1);
+    daemon->control->waiting =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return open_quorum(daemon, error);
+}
+
+/*
+ * After a failed write nothing of the log may count as stored that was not
+ * read back: open the files anew, as after a restart.
+ */
+static void
+recover(struct daemon *daemon)
+{
+    struct control *control = daemon->control;
+    GError *error = NULL;
+
+    end_leading(daemon);
+    control_refuse_waiting(daemon);
+    close_quorum(control);
+    if (open_quorum(daemon, &error)) {
+        log_state(G_LOG_LEVEL_MESSAGE, "the log is open again", NULL);
+        return;
+    }
+    log_state(G_LOG_LEVEL_WARNING, "cannot open the log", "error",
+              error->message, NULL);
+    g_error_free(error);
+}
+
+/* Now and then: see to a failed log, and to the space for it. */
+static void
+look_after(struct daemon *daemon, uint64_t now_us)
+{
+    struct control *control = daemon->control;
+
+    if (now_us < control->look_us) {
+        return;
+    }
+    control->look_us = now_us + LOOK_EVERY_US;
+    if (control->quorum == NULL || quorum_core_failed(control->quorum)) {
+        recover(daemon);
+    }
+    else {
+        store_check_space(control->store);
+    }
+}
+
 /* Let the log's task finish and begin to close its handle. */
 void
 control_close(struct daemon *daemon)
 {
-    if (daemon->control != NULL && daemon->control->store != NULL) {
-        store_close(daemon->control->store);
+    if (daemon->control != NULL) {
+        close_quorum(daemon->control);
     }
 }
 
@@ -132,9 +193,6 @@
     if (control == NULL) {
         return;
     }
-    store_free(control->store);
-    quorum_core_free(control->quorum);
-    table_core_free(control->tables);
     g_hash_table_destroy(control->waiting);
     g_free(control);
     daemon->control = NULL;
@@ -145,8 +203,11 @@
 {
     struct quorum_event event = {.kind = QUORUM_EV_TICK};
 
-    (void)now_us;
-    if (daemon->control != NULL) {
+    if (daemon->control == NULL) {
+        return;
+    }
+    look_after(daemon, now_us);
+    if (daemon->control->quorum != NULL) {
         control_step(daemon, &event);
     }
 }
@@ -328,7 +389,7 @@
 struct daemon_id
 control_leader(const struct daemon *daemon)
 {
-    if (daemon->control == NULL) {
+    if (daemon->control == NULL || daemon->control->quorum == NULL) {
         return (struct daemon_id){0};
     }
     return quorum_core_leader(daemon->control->quorum);
@@ -345,8 +406,9 @@
 const struct table_core *
 control_tables(const struct daemon *daemon)
 {
-    return daemon->control != NULL ? daemon->control->tables
-                                   : daemon->in_force;
+    return daemon->control != NULL && daemon->control->tables != NULL
+               ? daemon->control->tables
+               : daemon->in_force;
 }
 
 /* A version is in force on every live entry daemon. */
--- a/src/daemon/control_command.c
+++ b/src/daemon/control_command.c
@@ -90,6 +90,23 @@
     finish(daemon, wait, &outcome);
 }
 
+/* Answer all that waits, since nobody knows what became of it. */
+void
+control_refuse_waiting(struct daemon *daemon)
+{
+    GList *requests = g_hash_table_get_values(daemon->control->waiting);
+    struct control_outcome outcome = {.available = false};
+
+    g_strlcpy(outcome.message,
+              "the log could not be written; send the edit again with the "
+              "same edit id",
+              sizeof(outcome.message));
+    for (GList *item = requests; item != NULL; item = item->next) {
+        finish(daemon, item->data, &outcome);
+    }
+    g_list_free(requests);
+}
+
 /* Answer what waited for a proposal, and forget it. */
 static void
 finish(struct daemon *daemon, struct control_wait *wait,
--- a/src/daemon/control_private.h
+++ b/src/daemon/control_private.h
@@ -27,6 +27,7 @@
     struct table_core *tables;
     GHashTable *waiting; /* request -> struct control_wait */
     uint64_t next_request;
+    uint64_t look_us; /* when to look at space and failures next */
     bool leading; /* leads, and has applied all that was committed before */
 };
 
@@ -35,6 +36,7 @@
 
 /* In control_command.c: what is committed, and what waits for it. */
 void control_apply(struct daemon *, const struct quorum_entry *);
+void control_refuse_waiting(struct daemon *);
 void control_refused(struct daemon *, enum quorum_refusal, uint64_t request);
 
 #endif
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -307,6 +307,7 @@
     struct daemon *daemon = g_new0(struct daemon, 1);
 
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGXFSZ, SIG_IGN);
     daemon->settings = settings;
     daemon->self = view_daemon_id(settings->name);
     daemon->zone = view_zone_id(settings->zone);
--- a/src/daemon/store.c
+++ b/src/daemon/store.c
@@ -9,6 +9,7 @@
     struct quorum_record *records; /* each holds a reference */
     size_t count;
     bool stop;
+    bool check; /* nothing to write: look at the free space */
     bool ok;
     bool space_low;
     char *fault; /* why it could not be written, or NULL */
@@ -28,6 +29,7 @@
 static void run(void *);
 static void write_jobs(struct store *, GPtrArray *);
 static void on_wake(uv_async_t *);
+static void on_closed(uv_handle_t *);
 static void job_free(struct store_job *);
 static void record_ref(struct quorum_record *);
 
@@ -172,14 +174,23 @@
                       job->fault, NULL);
         }
         store->failed = !job->ok;
-        if (!job->stop) {
+        if (!job->stop && !job->check) {
             store->handler.stored(store->handler.user, job->token, job->ok);
         }
         job_free(job);
     }
 }
 
-/* Write what waits, end the thread, and begin to close the loop's handle. */
+/* Look at the free space, so that edits are taken again once there is some. */
+void
+store_check_space(struct store *store)
+{
+    struct store_job *job = g_new0(struct store_job, 1);
+
+    job->check = true;
+    g_async_queue_push(store->jobs, job);
+}
+
 void
 store_close(struct store *store)
 {
@@ -189,13 +200,13 @@
     g_async_queue_push(store->jobs, job);
     uv_thread_join(&store->thread);
     storage_close(store->storage);
-    uv_close((uv_handle_t *)&store->wake, NULL);
+    uv_close((uv_handle_t *)&store->wake, on_closed);
 }
 
-/* Free STORE after the loop has run the close callbacks. */
-void
-store_free(struct store *store)
+static void
+on_closed(uv_handle_t *handle)
 {
+    struct store *store = handle->data;
     struct store_job *job;
 
     while ((job = g_async_queue_try_pop(store->done)) != NULL) {
--- a/src/daemon/store.h
+++ b/src/daemon/store.h
@@ -28,7 +28,9 @@
                         GError **);
 void store_submit(struct store *, uint64_t token, const struct quorum_record *,
                   size_t);
+void store_check_space(struct store *);
+
+/* Write what waits, end the task; the store frees itself on the loop. */
 void store_close(struct store *);
-void store_free(struct store *);
 
 #endif
