--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -135,7 +135,7 @@
 measure(unsigned daemons)
 {
     struct process_fleet fleet;
-    struct reading before[FLEET_MAX];
+    struct reading before[FLEET_MAX] = {{0}};
     struct cost cost = {0, 0, 0, 0};
     double ticks_per_s = (double)sysconf(_SC_CLK_TCK), seconds;
     gint64 start;
--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -236,8 +236,7 @@
         on_completed, server, MHD_OPTION_CONNECTION_LIMIT,
         server->options.connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
         server->options.timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        (size_t)MEMORY_PER_CONNECTION, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-        MHD_OPTION_END);
+        (size_t)MEMORY_PER_CONNECTION, MHD_OPTION_END);
 }
 
 /*
