--- a/bench/bench_broken.c
+++ b/bench/bench_broken.c
@@ -280,6 +280,7 @@
         entry_change(fleet, change);
         break;
     case ROUTE_EDIT:
+        fleet->edited = true;
         fleet->routes[0].pool = fleet_pool_id(1);
         fleet_push_routes(fleet);
         break;
