Record a bucket once more when a flow opens on its old base

A daemon that joins has not acknowledged a mark, so that flows of a moving bucket open on its old base again; opened after the bucket was recorded, they had no record, and the base changed under them.

--- a/src/flow/flow_lead.c
+++ b/src/flow/flow_lead.c
@@ -16,6 +16,7 @@
                      uint16_t target, uint8_t flags);
 static void record_transit(struct flow_core *, struct flow_pool *,
                            struct flow_entry *);
+static void convert_again(struct flow_bucket *);
 static bool expired(const struct flow_core *, const struct flow_entry *);
 
 static uint64_t
@@ -143,6 +144,18 @@
            (flags & (FLOW_ENTRY_UDP | FLOW_ENTRY_TRANSIT)) != 0;
 }
 
+/*
+ * A flow without a record is on the bucket's base: a move that had recorded
+ * all of them looks again before the base changes.
+ */
+static void
+convert_again(struct flow_bucket *bucket)
+{
+    if (bucket->phase == FLOW_PHASE_CONVERTING) {
+        bucket->converted = false;
+    }
+}
+
 /*
  * Open the flow with DIGEST, which is not in the table, with FLAGS of enum
  * flow_entry_flag.  On success *SLOT is its target.  A draining target is taken only while some daemon may not yet
@@ -152,7 +165,7 @@
 flow_lead_open(struct flow_core *core, struct flow_pool *pool, uint64_t digest,
                uint8_t flags, uint16_t *slot)
 {
-    const struct flow_bucket *bucket = flow_bucket_of(pool, digest);
+    struct flow_bucket *bucket = flow_bucket_of(pool, digest);
     uint16_t target = choose(core, pool, digest);
     struct flow_slot *chosen;
     const struct flow_endpoint *endpoint;
@@ -182,6 +195,9 @@
         flow_copy_record(pool, flow_entry_record(entry));
         core->counters.off_map += target != bucket->base;
     }
+    else {
+        convert_again(bucket);
+    }
     *slot = target;
     return FLOW_REASON_NONE;
 }
@@ -204,6 +220,7 @@
     slot = flow_slot_at(pool, base);
     slot->inherited--;
     slot->count++;
+    convert_again(flow_bucket_of(pool, digest));
     entry = flow_table_insert(&pool->table, digest, base);
     entry->flags = FLOW_ENTRY_ANSWERED;
     entry->seen_s = flow_now_s(core);
