--- a/bench/bench_control_model.c
+++ b/bench/bench_control_model.c
@@ -333,6 +333,7 @@
         g_hash_table_insert(model->by_id, g_memdup2(&id, sizeof(id)),
                             g_memdup2(&i, sizeof(i)));
         start_node(model, i);
+        spread_core_set_synced(node->spread);
     }
     simulate(model, SETTLE_S);
 }
