--- a/src/flow/flow_core.c
+++ b/src/flow/flow_core.c
@@ -7,7 +7,7 @@
 
 #define DEFAULT_BUCKETS          4096
 #define DEFAULT_STEERED_FLOWS    16
-#define DEFAULT_STEERED_BALANCE  128
+#define DEFAULT_STEERED_BALANCE  64
 #define DEFAULT_SLACK_FLOWS      20
 #define DEFAULT_SLACK_BALANCE    2
 #define DEFAULT_COPY_BYTES_PER_S 2000
@@ -167,6 +167,9 @@
     case FLOW_MSG_ANSWERED:
         flow_silent_answered(core, from, message);
         break;
+    case FLOW_MSG_END:
+        flow_silent_end(core, message);
+        break;
     case FLOW_MSG__MAX:
         break;
     }
