--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -38,7 +38,7 @@
     [COUNTER_DROP_SEND] = {"packets_dropped_total", "reason=\"send\"",
                            "Packets dropped."},
     [COUNTER_RESETS_SENT] = {"resets_total", NULL,
-                             "TCP resets sent to callers and targets."},
+                             "TCP resets and ICMP port unreachables sent."},
     [COUNTER_REFUSED_NOT_RUN] = {"calls_refused_total", "answer=\"not_run\"",
                                  "Calls refused."},
     [COUNTER_REFUSED_UNKNOWN] = {"calls_refused_total",
--- a/src/daemon/daemon_packet.c
+++ b/src/daemon/daemon_packet.c
@@ -35,6 +35,7 @@
 static void drop(struct daemon *, const struct passage *,
                  const struct flow_verdict *);
 static bool try_call(struct daemon *, const struct passage *);
+static void send_unreachable(struct daemon *, const struct passage *);
 static void send_reset(struct daemon *, const struct flow_packet *,
                        uint32_t target, uint16_t port,
                        const struct flow_reset *);
@@ -314,6 +315,9 @@
         break;
     case FLOW_RESET:
         counter_add(&daemon->counters, COUNTER_PACKETS_FABRIC, 1);
+        if (passage->packet.protocol == IPPROTO_UDP) {
+            send_unreachable(daemon, passage);
+        }
         send_reset(daemon, &passage->flow, verdict.address, verdict.port,
                    &verdict.reset);
         trace(daemon, passage, SPAN_REFUSE, passage->flow.outer_src);
@@ -425,6 +429,20 @@
                               ntohs(daemon->fabric.sin_port), data, len);
 }
 
+/* Refuse a UDP flow visibly. */
+static void
+send_unreachable(struct daemon *daemon, const struct passage *passage)
+{
+    uint8_t data[GENEVE_HEADER_MAX + 128];
+    size_t len = geneve_build_unreachable(
+        data, sizeof(data), passage->packet.inner, passage->packet.inner_len);
+
+    if (len > 0) {
+        daemon_packet_to_fabric(daemon, data, len);
+        counter_add(&daemon->counters, COUNTER_RESETS_SENT, 1);
+    }
+}
+
 /* End a flow visibly: a TCP reset to each end that RESET names. */
 static void
 send_reset(struct daemon *daemon, const struct flow_packet *flow,
--- a/src/edge/geneve.c
+++ b/src/edge/geneve.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/ip.h>
+#include <netinet/ip_icmp.h>
 #include <netinet/tcp.h>
 #include <netinet/udp.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 #define GENEVE_OPTION_LEN 4 /* bytes of an option's own header */
 #define IPV4_FRAGMENT     0x3fff
 #define IPV4_TTL          64
+#define ICMP_QUOTED_LEN   8 /* bytes quoted behind the IP header */
 
 static const char *const geneve_error_names[GENEVE__MAX] = {
     [GENEVE_OK] = "ok",
@@ -406,3 +408,35 @@
             l4_checksum(tcp, l4_len, build->src, build->dst, IPPROTO_TCP));
     return head + total;
 }
+
+/*
+ * Build the refusal of an inner UDP datagram: an ICMP port unreachable (RFC
+ * 792) from its destination to its source, with its IP header and the first 8
+ * bytes behind.  INNER has been decoded.  Returns the length, or 0 if SIZE is
+ * too small.
+ */
+size_t
+geneve_build_unreachable(uint8_t *out, size_t size, const uint8_t *inner,
+                         size_t inner_len)
+{
+    size_t head = geneve_header(out, size, 0, NULL, 0);
+    size_t quoted = (size_t)(inner[0] & 0x0f) * 4 + ICMP_QUOTED_LEN;
+    size_t total;
+    uint8_t *at = out + head, *icmp = at + sizeof(struct iphdr);
+    struct geneve_build build = {.src = load32(inner + 16),
+                                 .dst = load32(inner + 12)};
+
+    quoted = quoted < inner_len ? quoted : inner_len;
+    total = sizeof(struct iphdr) + ICMP_MINLEN + quoted;
+    if (head == 0 || head + total > size) {
+        return 0;
+    }
+    build_ipv4(at, &build, IPPROTO_ICMP, total);
+    memset(icmp, 0, ICMP_MINLEN);
+    icmp[0] = ICMP_DEST_UNREACH;
+    icmp[1] = ICMP_PORT_UNREACH;
+    memcpy(icmp + ICMP_MINLEN, inner, quoted);
+    store16(icmp + 2,
+            checksum_fold(checksum_add(0, icmp, ICMP_MINLEN + quoted)));
+    return head + total;
+}
--- a/src/edge/geneve.h
+++ b/src/edge/geneve.h
@@ -83,6 +83,8 @@
 size_t geneve_header(uint8_t *, size_t, uint32_t vni, const uint8_t *call,
                      size_t call_len);
 size_t geneve_build_udp(uint8_t *, size_t, const struct geneve_build *);
+size_t geneve_build_unreachable(uint8_t *, size_t, const uint8_t *inner,
+                                size_t inner_len);
 size_t geneve_build_tcp(uint8_t *, size_t, const struct geneve_build *);
 
 #endif
--- a/tests/script/lib.sh
+++ b/tests/script/lib.sh
@@ -81,6 +81,20 @@
     wait "${PID[$1]}" 2>/dev/null
 }
 
+# Kill an entry daemon; the platform notices a dead VM after 1 s and hands it
+# no more packets.  Until then its share of all packets is lost.
+entry_dies() { # NAME
+    kill_hard "$1"
+    (sleep 1; ctl fabric gone "${IP[$1]}:6081" >/dev/null) &
+}
+
+# Start a daemon that had died; the platform hands it packets again.
+entry_returns() { # NAME
+    daemon_start "$1"
+    wait_for 5 port_open "${IP[$1]}" 8080
+    ctl fabric entry "${IP[$1]}:6081" >/dev/null
+}
+
 not() {
     ! "$@"
 }
--- a/tests/unit/test_geneve.c
+++ b/tests/unit/test_geneve.c
@@ -12,6 +12,7 @@
 
 static size_t build(uint8_t *, size_t);
 static void test_round_trip(void **);
+static void test_unreachable(void **);
 static void test_damage(void **);
 
 static size_t
@@ -56,6 +57,36 @@
     assert_memory_equal(packet.payload, "hello", 5);
 }
 
+/* A refused UDP datagram comes back quoted, from its destination. */
+static void
+test_unreachable(void **state)
+{
+    struct geneve_build build = {.src = 0x0a000001,
+                                 .dst = 0x0a000002,
+                                 .src_port = 4000,
+                                 .dst_port = 53};
+    uint8_t data[256], refusal[256];
+    size_t len = geneve_build_udp(data, sizeof(data), &build), refusal_len;
+    struct geneve_packet packet;
+    const uint8_t *ip = refusal + 8, *icmp = ip + 20;
+
+    (void)state;
+    assert_int_equal(geneve_decode(data, len, &packet), GENEVE_OK);
+    refusal_len = geneve_build_unreachable(refusal, sizeof(refusal),
+                                           packet.inner, packet.inner_len);
+    assert_int_equal(refusal_len, 8 + 20 + 8 + 28);
+    /* The header is sound: only the protocol is not one of a flow. */
+    assert_int_equal(geneve_decode(refusal, refusal_len, &packet),
+                     GENEVE_INNER_PROTOCOL);
+    assert_int_equal(packet.src, 0x0a000002);
+    assert_int_equal(packet.dst, 0x0a000001);
+    assert_int_equal(icmp[0], 3);
+    assert_int_equal(icmp[1], 3);
+    assert_memory_equal(icmp + 8, data + 8, 28);
+    assert_int_equal(geneve_build_unreachable(refusal, 40, data + 8, len - 8),
+                     0);
+}
+
 struct damage {
     size_t offset; /* byte to change */
     uint8_t value;
@@ -101,6 +132,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_round_trip),
+        cmocka_unit_test(test_unreachable),
         cmocka_unit_test(test_damage),
     };
 
