Watch the end of a flow for silence; keep stale segments off new streams

Cause: silent-flows showed 2 healthy feeds reset: not by the daemons, whose resets all named silent flows, but by the caller stand-in, which gave a second reset of an ended stream to the stream that had taken its place. A churning stream gave up before the bound of 30 s. A flow whose only unanswered segment is its FIN was not watched.

--- a/src/flow/flow_packet.c
+++ b/src/flow/flow_packet.c
@@ -13,6 +13,7 @@
 static uint64_t digest_of(uint32_t, uint16_t, uint32_t, uint16_t, uint8_t);
 static bool must_tell_lead(const struct flow_look *);
 static struct flow_pool *first_pool(const struct flow_look *);
+static bool wants_answer(const struct flow_packet *);
 static void watch(const struct flow_look *, struct flow_pool *);
 static struct flow_verdict caller_packet(const struct flow_look *);
 static struct flow_verdict in_pool(const struct flow_look *,
@@ -112,6 +113,13 @@
     }
 }
 
+/* Whether the target must answer a segment: data, or the end of a flow. */
+static bool
+wants_answer(const struct flow_packet *packet)
+{
+    return packet->payload_len != 0 || (packet->tcp_flags & TCP_FIN) != 0;
+}
+
 /* A packet towards a route's address. */
 static struct flow_verdict
 caller_packet(const struct flow_look *look)
@@ -133,7 +141,7 @@
     }
     pool = first_pool(look);
     flow_table_prefetch(&pool->table, look->digest);
-    if (!look->udp && !look->opening && look->packet->payload_len != 0 &&
+    if (!look->udp && !look->opening && wants_answer(look->packet) &&
         look->packet->hops == 0) {
         watch(look, pool);
     }
--- a/tests/script/silent-flows/run.sh
+++ b/tests/script/silent-flows/run.sh
@@ -10,7 +10,7 @@
 caller_start quiet fieldline 10.0.0.1:99 --streams 20 --period-ms 30000 \
     --stall-ms 60000
 caller_start churn fieldline 10.0.0.1:22 --streams 20 --messages 5 \
-    --period-ms 100
+    --period-ms 100 --stall-ms 45000
 sleep 1
 echo "silent: $(ctl fieldline-1 forget 5)"
 gone() {
--- a/tests/stand-ins/lib_caller_stream.c
+++ b/tests/stand-ins/lib_caller_stream.c
@@ -80,15 +80,22 @@
     return (gpointer)(uintptr_t)((uint64_t)src << 16 | src_port);
 }
 
+/* The stream of PACKET, or NULL; the place of an ended one may be reused. */
 static struct stream *
 lookup(struct caller_streams *streams, const struct geneve_packet *packet)
 {
     gpointer found = g_hash_table_lookup(
         streams->by_flow, flow_id(packet->dst, packet->dst_port));
+    struct stream *stream;
 
-    return found == NULL ? NULL
-                         : &g_array_index(streams->streams, struct stream,
-                                          GPOINTER_TO_UINT(found) - 1);
+    if (found == NULL) {
+        return NULL;
+    }
+    stream = &g_array_index(streams->streams, struct stream,
+                            GPOINTER_TO_UINT(found) - 1);
+    return stream->src == packet->dst && stream->src_port == packet->dst_port
+               ? stream
+               : NULL;
 }
 
 static json_t *
