--- a/src/edge/call_option.pb-c.h
+++ b/src/edge/call_option.pb-c.h
@@ -48,7 +48,8 @@
    */
   uint64_t id;
   /*
-   * counts from 1; set by the lead towards a target
+   * Set by the lead towards a target, which returns it unchanged.  It counts
+   * from 1; of an idempotent call the low 4 bits count, the rest is the sender.
    */
   uint32_t attempt;
   /*
