Find a feed that goes silent before its first answer; mend what stood twice

Change: whoever sends a segment that wants an answer on to a target watches it, by the target that it is sent to. Names of states and addresses in dotted form stood twice and have moved to src/base/view; a channel that nothing used is gone.

--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "base/view.h"
 
 #define NAME_LEN_MAX 63 /* bytes of a name without its NUL */
 #define AT(member)   offsetof(struct settings, member)
@@ -251,19 +252,20 @@
 {
     const void *member = (const char *)settings + row->offset;
     const struct settings_endpoint *endpoint = member;
-    uint32_t a;
+    char *address, *text;
 
     switch (row->type) {
     case SETTING_NUMBER:
         return g_strdup_printf("%" G_GINT64_FORMAT, *(const int64_t *)member);
     case SETTING_ADDRESS:
     case SETTING_ENDPOINT:
-        a = endpoint->address;
-        return row->type == SETTING_ADDRESS
-                   ? g_strdup_printf("%u.%u.%u.%u", a >> 24, a >> 16 & 255,
-                                     a >> 8 & 255, a & 255)
-                   : g_strdup_printf("%u.%u.%u.%u:%u", a >> 24, a >> 16 & 255,
-                                     a >> 8 & 255, a & 255, endpoint->port);
+        address = view_address_text(endpoint->address);
+        if (row->type == SETTING_ADDRESS) {
+            return address;
+        }
+        text = g_strdup_printf("%s:%u", address, endpoint->port);
+        g_free(address);
+        return text;
     case SETTING_TEXT:
     case SETTING_NAME:
     case SETTING_PATH:
--- a/src/base/view.c
+++ b/src/base/view.c
@@ -1,10 +1,19 @@
 /* Identifiers and rendezvous hashing over the live daemons. */
 #include "base/view.h"
 
+#include <glib.h>
+
 #include "base/hash.h"
 
 #define VNI_MAX 0xffffffU /* of 24 bits */
 
+static const char *const daemon_state_names[DAEMON__MAX] = {
+    [DAEMON_ALIVE] = "alive",
+    [DAEMON_SUSPECT] = "suspect",
+    [DAEMON_LEAVING] = "passive",
+    [DAEMON_DEAD] = "dead",
+};
+
 /* The id of the daemon called NAME. */
 struct daemon_id
 view_daemon_id(const char *name)
@@ -26,6 +35,19 @@
     return (uint32_t)hash_string(name);
 }
 
+const char *
+view_daemon_state_name(enum daemon_state state)
+{
+    return state < DAEMON__MAX ? daemon_state_names[state] : "unknown";
+}
+
+char *
+view_address_text(uint32_t address)
+{
+    return g_strdup_printf("%u.%u.%u.%u", address >> 24, address >> 16 & 255,
+                           address >> 8 & 255, address & 255);
+}
+
 uint32_t
 view_pool_vni(struct pool_id pool)
 {
--- a/src/base/view.h
+++ b/src/base/view.h
@@ -78,7 +78,7 @@
 enum daemon_state {
     DAEMON_ALIVE,
     DAEMON_SUSPECT,
-    DAEMON_LEAVING, /* planned stop: takes no leads, still forwards */
+    DAEMON_LEAVING, /* joining or leaving: takes no leads, still forwards */
     DAEMON_DEAD,
     DAEMON__MAX
 };
@@ -97,6 +97,12 @@
 struct pool_id view_pool_id(const char *name);
 uint32_t view_zone_id(const char *name);
 
+/* "alive", "suspect", "passive" (joining or leaving) or "dead". */
+const char *view_daemon_state_name(enum daemon_state);
+
+/* ADDRESS in dotted form; the caller frees it. */
+char *view_address_text(uint32_t address);
+
 /*
  * The Geneve network identifier (24 bits, never 0) of a pool.  A host's Geneve
  * interface takes off only its own: a packet that is on its way while the
--- a/src/daemon/api_handlers.c
+++ b/src/daemon/api_handlers.c
@@ -69,13 +69,6 @@
     {ERR_UNAVAILABLE, 503}, {ERR_STORAGE, 507},
 };
 
-static const char *const daemon_state_names[DAEMON__MAX] = {
-    [DAEMON_ALIVE] = "alive",
-    [DAEMON_SUSPECT] = "suspect",
-    [DAEMON_LEAVING] = "passive",
-    [DAEMON_DEAD] = "dead",
-};
-
 static const char *const target_state_names[TARGET__MAX] = {
     [TARGET_READY] = "ready",
     [TARGET_COLD] = "cold",
@@ -383,14 +376,14 @@
         const char *name = member_core_name(daemon->member, views[i].id);
         const char *zone =
             member_core_zone_name(daemon->member, views[i].zone);
-        char *address = row_json_address(views[i].address);
+        char *address = view_address_text(views[i].address);
 
         json_array_append_new(
             list,
             json_pack("{s:s, s:s, s:s, s:s, s:b, s:b}", "name",
                       name == NULL ? "?" : name, "zone",
                       zone == NULL ? "?" : zone, "address", address, "state",
-                      daemon_state_names[views[i].state], "entry",
+                      view_daemon_state_name(views[i].state), "entry",
                       views[i].entry, "control", views[i].control));
         g_free(address);
     }
@@ -409,7 +402,7 @@
     struct target_list *list = data;
     const struct table_row *pool =
         table_core_pool(list->daemon->in_force, target->pool);
-    char *address = row_json_address(target->view.key.address);
+    char *address = view_address_text(target->view.key.address);
 
     json_array_append_new(
         list->items,
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -33,14 +33,6 @@
     return uv_hrtime() / 1000;
 }
 
-/* ADDRESS in dotted form; the caller frees it. */
-char *
-daemon_address_text(uint32_t address)
-{
-    return g_strdup_printf("%u.%u.%u.%u", address >> 24, address >> 16 & 255,
-                           address >> 8 & 255, address & 255);
-}
-
 /* Write the span of one hop, if KEY is sampled. */
 void
 daemon_span(struct daemon *daemon, uint64_t key, enum span_hop hop,
@@ -52,7 +44,7 @@
     if (!span_sampled(daemon->spans, key)) {
         return;
     }
-    text = daemon_address_text(peer);
+    text = view_address_text(peer);
     span.end_us = g_get_real_time();
     span.peer = text;
     counter_add(&daemon->counters,
@@ -91,7 +83,6 @@
     case PEER_HELLO:
     case PEER_HELLO_ANSWER:
     case PEER_MEMBER:
-    case PEER_TABLE:
     case PEER_HANDON_FLOW:
     case PEER_RELAY:
     case PEER_CHANNEL__MAX:
@@ -122,7 +113,6 @@
     case PEER_HELLO_ANSWER:
     case PEER_SPREAD:
     case PEER_QUORUM:
-    case PEER_TABLE:
     case PEER_CONTROL:
     case PEER_FLOW:
     case PEER_CALL:
--- a/src/daemon/daemon_member.c
+++ b/src/daemon/daemon_member.c
@@ -8,13 +8,6 @@
 static void changed(struct daemon *);
 static void log_changes(struct daemon *, const struct daemon_view *, size_t);
 
-static const char *const state_names[DAEMON__MAX] = {
-    [DAEMON_ALIVE] = "alive",
-    [DAEMON_SUSPECT] = "suspect",
-    [DAEMON_LEAVING] = "passive",
-    [DAEMON_DEAD] = "dead",
-};
-
 /* Start membership with the peers and voters that the settings name. */
 void
 daemon_member_start(struct daemon *daemon)
@@ -156,7 +149,7 @@
         }
         log_state(G_LOG_LEVEL_MESSAGE, "daemon changed state", "peer",
                   name == NULL ? "?" : name, "state",
-                  state_names[views[i].state], NULL);
+                  view_daemon_state_name(views[i].state), NULL);
     }
 }
 
--- a/src/daemon/daemon_packet.c
+++ b/src/daemon/daemon_packet.c
@@ -20,6 +20,7 @@
     bool batched; /* DATA stays until the batch is flushed */
 };
 
+static struct sockaddr_in sockaddr_of(uint32_t address, uint16_t port);
 static void alloc_packets(uv_handle_t *, size_t, uv_buf_t *);
 static void on_packet(uv_udp_t *, ssize_t, const uv_buf_t *,
                       const struct sockaddr *, unsigned);
@@ -44,6 +45,18 @@
 static void trace(struct daemon *, const struct passage *, enum span_hop,
                   uint32_t peer);
 
+static struct sockaddr_in
+sockaddr_of(uint32_t address, uint16_t port)
+{
+    struct sockaddr_in out = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(address),
+        .sin_port = htons(port),
+    };
+
+    return out;
+}
+
 /* Open the Geneve socket and the flow core. */
 bool
 daemon_packet_start(struct daemon *daemon, GError **error)
@@ -62,14 +75,8 @@
     daemon->geneve_buffer = g_malloc((size_t)DAEMON_PACKET_MAX * DAEMON_BATCH);
     uv_udp_init_ex(&daemon->loop, &daemon->geneve, AF_INET | UV_UDP_RECVMMSG);
     daemon->geneve.data = daemon;
-    memset(&address, 0, sizeof(address));
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(settings->address.address);
-    address.sin_port = htons((uint16_t)settings->geneve_port);
-    memset(&daemon->fabric, 0, sizeof(daemon->fabric));
-    daemon->fabric.sin_family = AF_INET;
-    daemon->fabric.sin_addr.s_addr = htonl(settings->fabric.address);
-    daemon->fabric.sin_port = htons(settings->fabric.port);
+    address = sockaddr_of(settings->address.address,
+                          (uint16_t)settings->geneve_port);
     if (!settings->entry) {
         return true;
     }
@@ -269,11 +276,7 @@
 send_on(struct daemon *daemon, const struct passage *passage, uint32_t address,
         uint16_t port)
 {
-    struct sockaddr_in to = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(address),
-        .sin_port = htons(port),
-    };
+    struct sockaddr_in to = sockaddr_of(address, port);
 
     if (!passage->batched) {
         daemon_packet_send(daemon, address, port, passage->data, passage->len);
@@ -406,11 +409,7 @@
 daemon_packet_send(struct daemon *daemon, uint32_t address, uint16_t port,
                    const uint8_t *data, size_t len)
 {
-    struct sockaddr_in to = {
-        .sin_family = AF_INET,
-        .sin_addr.s_addr = htonl(address),
-        .sin_port = htons(port),
-    };
+    struct sockaddr_in to = sockaddr_of(address, port);
     uv_buf_t buffer = uv_buf_init((char *)(uintptr_t)data, (unsigned)len);
 
     if (uv_udp_try_send(&daemon->geneve, &buffer, 1,
@@ -425,8 +424,10 @@
 bool
 daemon_packet_to_fabric(struct daemon *daemon, const uint8_t *data, size_t len)
 {
-    return daemon_packet_send(daemon, ntohl(daemon->fabric.sin_addr.s_addr),
-                              ntohs(daemon->fabric.sin_port), data, len);
+    const struct settings_endpoint *fabric = &daemon->settings->fabric;
+
+    return daemon_packet_send(daemon, fabric->address, fabric->port, data,
+                              len);
 }
 
 /* Refuse a UDP flow visibly. */
--- a/src/daemon/daemon_private.h
+++ b/src/daemon/daemon_private.h
@@ -81,7 +81,6 @@
     int geneve_fd;
     uint8_t *geneve_buffer;
     struct packet_batch batch; /* of the packets of one recvmmsg */
-    struct sockaddr_in fabric;
 
     struct member_core *member;
     struct spread_core *spread;
@@ -104,7 +103,6 @@
 };
 
 uint64_t daemon_now_us(void);
-char *daemon_address_text(uint32_t address);
 
 /* member: daemons known, and what follows from a change. */
 void daemon_member_start(struct daemon *);
--- a/src/edge/row_json.c
+++ b/src/edge/row_json.c
@@ -41,18 +41,10 @@
 static bool read_zones(json_t *, struct row_json_edit *, GError **);
 static bool read_edit(json_t *, struct row_json_edit *, GError **);
 
-/* ADDRESS in dotted form; the caller frees it. */
-char *
-row_json_address(uint32_t address)
-{
-    return g_strdup_printf("%u.%u.%u.%u", address >> 24, address >> 16 & 255,
-                           address >> 8 & 255, address & 255);
-}
-
 static json_t *
 address_json(uint32_t address)
 {
-    char *text = row_json_address(address);
+    char *text = view_address_text(address);
     json_t *value = json_string(text);
 
     g_free(text);
@@ -78,7 +70,7 @@
         json_array_append_new(drain, address_json(pool->drain[i]));
     }
     for (size_t i = 0; i < pool->weight_count; i++) {
-        char *text = row_json_address(pool->weights[i].address);
+        char *text = view_address_text(pool->weights[i].address);
 
         json_object_set_new(weights, text,
                             json_integer(pool->weights[i].weight));
--- a/src/edge/row_json.h
+++ b/src/edge/row_json.h
@@ -22,6 +22,5 @@
 bool row_json_read_edit(const char *body, size_t len, enum table_kind,
                         const char *name, enum table_operation,
                         struct row_json_edit *, GError **);
-char *row_json_address(uint32_t address);
 
 #endif
--- a/src/flow/flow_packet.c
+++ b/src/flow/flow_packet.c
@@ -13,8 +13,6 @@
 static uint64_t digest_of(uint32_t, uint16_t, uint32_t, uint16_t, uint8_t);
 static bool must_tell_lead(const struct flow_look *);
 static struct flow_pool *first_pool(const struct flow_look *);
-static bool wants_answer(const struct flow_packet *);
-static void watch(const struct flow_look *, struct flow_pool *);
 static struct flow_verdict caller_packet(const struct flow_look *);
 static struct flow_verdict in_pool(const struct flow_look *,
                                    struct flow_pool *, bool tell);
@@ -97,29 +95,6 @@
     return route->pool;
 }
 
-/*
- * Note a data segment of a flow whose answers have passed here, so that it is
- * found when they stop.
- */
-static void
-watch(const struct flow_look *look, struct flow_pool *pool)
-{
-    struct flow_core *core = look->core;
-    struct flow_cached *cached = flow_cache_find(&core->cache, look->digest);
-
-    if (cached != NULL && cached->endpoint != FLOW_ENDPOINT_NONE) {
-        cached->used_s = flow_now_s(core);
-        flow_silent_watch(core, pool, cached, look->packet);
-    }
-}
-
-/* Whether the target must answer a segment: data, or the end of a flow. */
-static bool
-wants_answer(const struct flow_packet *packet)
-{
-    return packet->payload_len != 0 || (packet->tcp_flags & TCP_FIN) != 0;
-}
-
 /* A packet towards a route's address. */
 static struct flow_verdict
 caller_packet(const struct flow_look *look)
@@ -141,10 +116,6 @@
     }
     pool = first_pool(look);
     flow_table_prefetch(&pool->table, look->digest);
-    if (!look->udp && !look->opening && wants_answer(look->packet) &&
-        look->packet->hops == 0) {
-        watch(look, pool);
-    }
     tell = !pool->acting && must_tell_lead(look);
     if (!tell && !pool->acting && flow_learned(look, &endpoint)) {
         return flow_forward(look, pool, endpoint);
--- a/src/flow/flow_silent.c
+++ b/src/flow/flow_silent.c
@@ -32,10 +32,14 @@
 static void end_flow(struct flow_core *, const struct flow_suspect *);
 static bool step_suspect(struct flow_core *, struct flow_suspect *);
 
-/* Note a data segment of a caller; CACHED is the flow's entry here. */
+/*
+ * Note a segment of a caller that ENDPOINT must answer; CACHED is the flow's
+ * entry here.
+ */
 void
 flow_silent_watch(struct flow_core *core, struct flow_pool *pool,
-                  struct flow_cached *cached, const struct flow_packet *packet)
+                  struct flow_cached *cached, uint32_t endpoint,
+                  const struct flow_packet *packet)
 {
     uint32_t now_ms = flow_now_ms(core);
     struct flow_suspect *suspect;
@@ -53,7 +57,7 @@
     suspect = g_new0(struct flow_suspect, 1);
     suspect->digest = cached->digest;
     suspect->pool = pool;
-    suspect->endpoint = cached->endpoint;
+    suspect->endpoint = endpoint;
     suspect->packet = *packet;
     suspect->asked_us =
         core->now_us - (uint64_t)(now_ms - cached->asked_ms) * 1000;
--- a/src/flow/flow_state.h
+++ b/src/flow/flow_state.h
@@ -306,7 +306,8 @@
 
 /* flow_silent.c: flows without answers */
 void flow_silent_watch(struct flow_core *, struct flow_pool *,
-                       struct flow_cached *, const struct flow_packet *);
+                       struct flow_cached *, uint32_t endpoint,
+                       const struct flow_packet *);
 void flow_silent_clear(struct flow_core *, uint64_t digest);
 void flow_silent_end(struct flow_core *, const struct flow_message *);
 void flow_silent_ask(struct flow_core *, struct daemon_id,
--- a/src/flow/flow_verdict.c
+++ b/src/flow/flow_verdict.c
@@ -1,6 +1,8 @@
 /* The verdicts: forward, hand on, deliver, refuse, drop. */
 #include "flow/flow_look.h"
 
+static bool wants_answer(const struct flow_packet *);
+static void watch(const struct flow_look *, struct flow_pool *, uint32_t);
 static struct flow_verdict missing(const struct flow_look *,
                                    struct flow_pool *,
                                    const struct flow_endpoint *);
@@ -116,6 +118,27 @@
     return flow_drop(look->core, FLOW_REASON_TARGET_UNKNOWN);
 }
 
+/* Whether the target must answer a segment: data, or the end of a flow. */
+static bool
+wants_answer(const struct flow_packet *packet)
+{
+    return packet->payload_len != 0 || (packet->tcp_flags & TCP_FIN) != 0;
+}
+
+/* Note a segment that wants an answer, so that a silent flow is found. */
+static void
+watch(const struct flow_look *look, struct flow_pool *pool, uint32_t endpoint)
+{
+    struct flow_core *core = look->core;
+    struct flow_cached *cached = flow_cache_find(&core->cache, look->digest);
+
+    if (cached == NULL) {
+        cached = flow_cache_add(&core->cache, look->digest, flow_now_s(core));
+    }
+    cached->used_s = flow_now_s(core);
+    flow_silent_watch(core, pool, cached, endpoint, look->packet);
+}
+
 /* To a target, only if the pool's view still has it in this incarnation. */
 struct flow_verdict
 flow_forward(const struct flow_look *look, struct flow_pool *pool,
@@ -126,6 +149,9 @@
     if (!endpoint->present) {
         return missing(look, pool, endpoint);
     }
+    if (!look->udp && !look->opening && wants_answer(look->packet)) {
+        watch(look, pool, index);
+    }
     look->core->counters.forwarded++;
     return (struct flow_verdict){
         .kind = FLOW_FORWARD,
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -20,7 +20,6 @@
     PEER_MEMBER,
     PEER_SPREAD,
     PEER_QUORUM,
-    PEER_TABLE,
     PEER_CONTROL,
     PEER_FLOW,
     PEER_CALL,
