--- a/src/cmd/cmd_table.c
+++ b/src/cmd/cmd_table.c
@@ -114,6 +114,8 @@
 static void print_help(const struct table_command_row *, const char *verb,
                        struct table_flags *);
 static bool wants_name(const char *verb);
+static char *row_path(const struct table_command_row *,
+                      const struct table_flags *);
 static enum cmd_status do_list(const struct table_command_row *,
                                const struct table_flags *);
 static enum cmd_status do_get(const struct table_command_row *,
@@ -269,11 +271,23 @@
     return CMD_DONE;
 }
 
+/* The path of the row that the flags name; the caller frees it. */
+static char *
+row_path(const struct table_command_row *command,
+         const struct table_flags *flags)
+{
+    char *name = g_uri_escape_string(flags->name->sval[0], NULL, FALSE);
+    char *path = g_strdup_printf("%s/%s", command->path, name);
+
+    g_free(name);
+    return path;
+}
+
 static enum cmd_status
 do_get(const struct table_command_row *command,
        const struct table_flags *flags)
 {
-    char *path = g_strdup_printf("%s/%s", command->path, flags->name->sval[0]);
+    char *path = row_path(command, flags);
     json_t *answer;
     bool ok = request(flags, "GET", path, NULL, &answer);
 
@@ -420,7 +434,7 @@
         const struct table_flags *flags, bool set)
 {
     json_t *body = json_object(), *zones = json_array(), *answer, *row;
-    char *path = g_strdup_printf("%s/%s", command->path, flags->name->sval[0]);
+    char *path = row_path(command, flags);
     char *edit_id = flags->edit_id->count > 0
                         ? g_strdup(flags->edit_id->sval[0])
                         : g_uuid_string_random();
--- a/src/daemon/daemon_packet.c
+++ b/src/daemon/daemon_packet.c
@@ -36,10 +36,6 @@
 static void drop(struct daemon *, const struct passage *,
                  const struct flow_verdict *);
 static bool try_call(struct daemon *, const struct passage *);
-static void send_unreachable(struct daemon *, const struct passage *);
-static void send_reset(struct daemon *, const struct flow_packet *,
-                       uint32_t target, uint16_t port,
-                       const struct flow_reset *);
 static void step(struct daemon *, const struct flow_event *);
 static uint64_t span_key(const struct geneve_packet *);
 static void trace(struct daemon *, const struct passage *, enum span_hop,
@@ -319,10 +315,11 @@
     case FLOW_RESET:
         counter_add(&daemon->counters, COUNTER_PACKETS_FABRIC, 1);
         if (passage->packet.protocol == IPPROTO_UDP) {
-            send_unreachable(daemon, passage);
+            daemon_refuse_udp(daemon, passage->packet.inner,
+                              passage->packet.inner_len);
         }
-        send_reset(daemon, &passage->flow, verdict.address, verdict.port,
-                   &verdict.reset);
+        daemon_refuse_tcp(daemon, &passage->flow, verdict.address,
+                          verdict.port, &verdict.reset);
         trace(daemon, passage, SPAN_REFUSE, passage->flow.outer_src);
         break;
     case FLOW_DROP:
@@ -430,62 +427,6 @@
                               len);
 }
 
-/* Refuse a UDP flow visibly. */
-static void
-send_unreachable(struct daemon *daemon, const struct passage *passage)
-{
-    uint8_t data[GENEVE_HEADER_MAX + 128];
-    size_t len = geneve_build_unreachable(
-        data, sizeof(data), passage->packet.inner, passage->packet.inner_len);
-
-    if (len > 0) {
-        daemon_packet_to_fabric(daemon, data, len);
-        counter_add(&daemon->counters, COUNTER_RESETS_SENT, 1);
-    }
-}
-
-/* End a flow visibly: a TCP reset to each end that RESET names. */
-static void
-send_reset(struct daemon *daemon, const struct flow_packet *flow,
-           uint32_t target, uint16_t port, const struct flow_reset *reset)
-{
-    uint8_t data[GENEVE_HEADER_MAX + 64];
-    struct geneve_build build = {0};
-    size_t len;
-
-    if (flow->protocol != IPPROTO_TCP) {
-        return;
-    }
-    if (reset->caller_flags != 0) {
-        build.src = flow->dst;
-        build.dst = flow->src;
-        build.src_port = flow->dst_port;
-        build.dst_port = flow->src_port;
-        build.tcp_flags = reset->caller_flags;
-        build.tcp_seq = reset->caller_seq;
-        build.tcp_ack = reset->caller_ack;
-        len = geneve_build_tcp(data, sizeof(data), &build);
-        daemon_packet_to_fabric(daemon, data, len);
-        counter_add(&daemon->counters, COUNTER_RESETS_SENT, 1);
-    }
-    if (reset->target_flags != 0 && target != 0) {
-        const struct daemon_route *route =
-            daemon_table_route(daemon, flow->dst, flow->dst_port);
-
-        build.vni = route == NULL ? 0 : view_pool_vni(route->pool);
-        build.src = flow->src;
-        build.dst = flow->dst;
-        build.src_port = flow->src_port;
-        build.dst_port = flow->dst_port;
-        build.tcp_flags = reset->target_flags;
-        build.tcp_seq = reset->target_seq;
-        build.tcp_ack = reset->target_ack;
-        len = geneve_build_tcp(data, sizeof(data), &build);
-        daemon_packet_send(daemon, target, port, data, len);
-        counter_add(&daemon->counters, COUNTER_RESETS_SENT, 1);
-    }
-}
-
 static void
 step(struct daemon *daemon, const struct flow_event *event)
 {
@@ -505,9 +446,9 @@
             g_byte_array_unref(bytes);
             break;
         case FLOW_ACT_RESET:
-            send_reset(daemon, &action->u.reset.packet,
-                       action->u.reset.address, action->u.reset.port,
-                       &action->u.reset.reset);
+            daemon_refuse_tcp(daemon, &action->u.reset.packet,
+                              action->u.reset.address, action->u.reset.port,
+                              &action->u.reset.reset);
             break;
         case FLOW_ACT_STOPPED:
             daemon->flows_handed_over = true;
--- a/src/daemon/daemon_private.h
+++ b/src/daemon/daemon_private.h
@@ -149,6 +149,12 @@
 bool daemon_packet_to_fabric(struct daemon *, const uint8_t *, size_t);
 void daemon_packet_stop(struct daemon *);
 
+/* refuse: visible ends of flows. */
+void daemon_refuse_udp(struct daemon *, const uint8_t *inner, size_t);
+void daemon_refuse_tcp(struct daemon *, const struct flow_packet *,
+                       uint32_t target, uint16_t port,
+                       const struct flow_reset *);
+
 /* call: calls and their answers. */
 void daemon_call_start(struct daemon *);
 void daemon_call_event(struct daemon *, const struct call_event *);
