--- a/src/daemon/daemon_packet.c
+++ b/src/daemon/daemon_packet.c
@@ -211,6 +211,7 @@
     }
     passage.flow.outer_src = ntohl(outer->sin_addr.s_addr);
     passage.batched = (flags & UV_UDP_MMSG_CHUNK) != 0;
+    trace(daemon, &passage, SPAN_FABRIC_IN, passage.flow.outer_src);
     pass(daemon, &passage);
 }
 
@@ -235,6 +236,7 @@
     passage.flow.hops = data[0];
     passage.flow.pool.value = GUINT64_FROM_LE(pool);
     passage.flow.outer_src = GUINT32_FROM_LE(outer);
+    trace(daemon, &passage, SPAN_LEAD, passage.flow.outer_src);
     pass(daemon, &passage);
 }
 
