--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -77,13 +77,11 @@
     case PEER_CALL:
         daemon_call_message(daemon, from->id, data, len);
         break;
-    case PEER_HANDON_CALL:
-        daemon_call_hand_in(daemon, data, len);
-        break;
     case PEER_HELLO:
     case PEER_HELLO_ANSWER:
     case PEER_MEMBER:
     case PEER_HANDON_FLOW:
+    case PEER_HANDON_CALL:
     case PEER_RELAY:
     case PEER_CHANNEL__MAX:
         counter_add(&daemon->counters, COUNTER_PEER_BAD_FRAMES, 1);
@@ -106,6 +104,9 @@
     case PEER_HANDON_FLOW:
         daemon_packet_hand_in(daemon, data, len);
         break;
+    case PEER_HANDON_CALL:
+        daemon_call_hand_in(daemon, data, len);
+        break;
     case PEER_RELAY:
         daemon_packet_relayed(daemon, data, len);
         break;
@@ -116,7 +117,6 @@
     case PEER_CONTROL:
     case PEER_FLOW:
     case PEER_CALL:
-    case PEER_HANDON_CALL:
     case PEER_CHANNEL__MAX:
         counter_add(&daemon->counters, COUNTER_PEER_BAD_FRAMES, 1);
         break;
--- a/src/daemon/daemon_call.c
+++ b/src/daemon/daemon_call.c
@@ -136,25 +136,26 @@
 }
 
 /*
- * Hand a call's packet on to the call lead, by TCP: a target answers once, and
- * an answer lost between daemons would leave the call's outcome unknown.
+ * Hand a call's packet on to the call lead, by UDP: what TCP holds back during
+ * a cut arrives after the ids of its time are forgotten, and would run again.
  */
 static void
 hand_on(struct daemon *daemon, const struct call_action *action)
 {
     const struct call_packet *packet = &action->u.hand_on.packet;
+    uint32_t address = mesh_peer_address(daemon->mesh, action->u.hand_on.to);
     GByteArray *bytes = g_byte_array_new();
 
     call_wire_pack_packet(packet, bytes);
     counter_add(&daemon->counters, COUNTER_PACKETS_HANDED_ON, 1);
-    if (!mesh_send(daemon->mesh, action->u.hand_on.to, PEER_HANDON_CALL,
-                   bytes->data, bytes->len)) {
+    if (address == 0 ||
+        !mesh_send_datagram(daemon->mesh, address, PEER_HANDON_CALL, NULL, 0,
+                            bytes->data, bytes->len)) {
         counter_add(&daemon->counters, COUNTER_DROP_SEND, 1);
     }
     g_byte_array_unref(bytes);
     daemon_span(daemon, hash_pair(packet->option.id, packet->caller),
-                SPAN_HAND_ON, g_get_real_time(),
-                mesh_peer_address(daemon->mesh, action->u.hand_on.to));
+                SPAN_HAND_ON, g_get_real_time(), address);
 }
 
 /* Take in a call's packet that a peer handed on. */
