Keep the run command-line apart from its block of addresses

Cause: the run failed once of three: the width of the address column follows the length of the block's number, which differs from run to run. Change: that line is compared with single spaces. Conclusion: no other line of the run holds an address in a column.

--- a/tests/script/command-line/run.sh
+++ b/tests/script/command-line/run.sh
@@ -50,6 +50,8 @@
 run edit status e8
 run edit status e9
 run edit status none
-run status | grep -e '^daemon ' -e '^in force' -e '^DAEMON' -e status
+# The width of the address column depends on the block of addresses.
+run status | grep -e '^daemon ' -e '^in force' -e '^DAEMON' -e status |
+    tr -s ' '
 bare route list --server "http://${IP[home-1]}:8080"
 bare route list --server "http://127.$B.7.7:8080"
