--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,9 @@
 LDLIBS   = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -largtable2 \
            -lcrypto -lpthread -lm
 
-LIB_SRC  = $(filter-out src/cmd/main.c,$(wildcard src/*/*.c))
+LIB_SRC  = $(wildcard src/*/*.c)
+PLATFORM_SRC = $(wildcard platform/*.c)
+PLATFORM_OBJ = $(PLATFORM_SRC:%.c=$(B)/%.o)
 LIB_OBJ  = $(LIB_SRC:%.c=$(B)/%.o)
 BIN      = $(B)/parsleyspur
 LIB      = $(B)/libparsleyspur.a
@@ -44,6 +46,7 @@
 BENCHES  = $(BENCH_SRC:%.c=$(B)/%)
 
 C_FILES  = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] \
+           platform/*.[ch] \
            tests/*/*.[ch] tests/*/*.cc bench/*.[ch]))
 TIDY_FILES = $(filter-out tests/fuzz/%,$(filter %.c,$(C_FILES)))
 
@@ -52,7 +55,7 @@
 deps:
 	@bash tools/deps.sh $(DEBS)
 
-$(BIN): $(B)/src/cmd/main.o $(LIB)
+$(BIN): $(PLATFORM_OBJ) $(LIB)
 	$(CC) -o $@ $^ $(LDLIBS)
 
 $(LIB): $(LIB_OBJ)
--- /dev/null
+++ b/src/affinity/affinity.c
@@ -0,0 +1,283 @@
+/* Verdicts on packets. */
+#include "affinity/affinity.h"
+
+#include "affinity/affinity_state.h"
+#include "base/hash.h"
+
+#define SWEEP_US        500000 /* between looks for silent flows */
+#define IDLE_DEFAULT_MS 15000  /* before the catalog tells */
+
+static guint key_hash(gconstpointer);
+static gboolean key_equal(gconstpointer, gconstpointer);
+static void decide(struct affinity_verdict *, enum affinity_action,
+                   enum affinity_reason);
+static void take_opening(struct affinity_core *, uint64_t now_us,
+                         const struct catalog *,
+                         const struct affinity_packet *,
+                         struct affinity_verdict *);
+static bool repeat_opening(struct affinity_core *, uint64_t now_us,
+                           const struct catalog *, struct affinity_flow *,
+                           struct affinity_verdict *);
+static void take_packet(struct affinity_core *, uint64_t now_us,
+                        const struct catalog *, const struct affinity_packet *,
+                        struct affinity_verdict *);
+
+static const struct affinity_options defaults = {
+    .flows_max = 65536,
+    .silence_us = 2000000,
+    .suspect_us = 1000000,
+    .suspect_openings = 2,
+};
+
+static const char *const reason_names[AFFINITY_REASON__MAX] = {
+    [AFFINITY_PLACED] = "placed",
+    [AFFINITY_REPEATED] = "repeated",
+    [AFFINITY_PLACED_ANEW] = "placed-anew",
+    [AFFINITY_COOKIE] = "cookie",
+    [AFFINITY_NO_ROUTE] = "no-route",
+    [AFFINITY_NO_TARGET] = "no-target",
+    [AFFINITY_OVERLOAD] = "overload",
+    [AFFINITY_TARGET_GONE] = "target-gone",
+    [AFFINITY_UNKNOWN_COOKIE] = "unknown-cookie",
+    [AFFINITY_NO_COOKIE] = "no-cookie",
+    [AFFINITY_NOT_SYNCED] = "not-synced",
+};
+
+/* The stable name of REASON. */
+const char *
+affinity_reason_name(enum affinity_reason reason)
+{
+    return reason < AFFINITY_REASON__MAX ? reason_names[reason] : "none";
+}
+
+static guint
+key_hash(gconstpointer key)
+{
+    return (guint)hash_bytes(key, sizeof(struct affinity_key), 0);
+}
+
+static gboolean
+key_equal(gconstpointer a, gconstpointer b)
+{
+    const struct affinity_key *x = a, *y = b;
+
+    return x->source == y->source && x->destination == y->destination &&
+           x->source_port == y->source_port &&
+           x->destination_port == y->destination_port;
+}
+
+/* A core that follows no flow yet. */
+struct affinity_core *
+affinity_core_new(const struct affinity_options *options)
+{
+    struct affinity_core *core = g_new0(struct affinity_core, 1);
+    struct affinity_options *own = &core->options;
+
+    *own = *options;
+#define DEFAULT(member)                                                       \
+    own->member = own->member != 0 ? own->member : defaults.member
+    DEFAULT(flows_max);
+    DEFAULT(silence_us);
+    DEFAULT(suspect_us);
+    DEFAULT(suspect_openings);
+#undef DEFAULT
+    core->rand = g_rand_new_with_seed_array(
+        (const guint32 *)&own->seed, sizeof(own->seed) / sizeof(guint32));
+    core->loads =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    core->habits =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    core->flows = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
+    return core;
+}
+
+/* Free CORE; NULL is allowed. */
+void
+affinity_core_free(struct affinity_core *core)
+{
+    if (core == NULL) {
+        return;
+    }
+    g_hash_table_destroy(core->loads);
+    g_hash_table_destroy(core->habits);
+    g_hash_table_destroy(core->flows);
+    g_rand_free(core->rand);
+    g_free(core);
+}
+
+static void
+decide(struct affinity_verdict *verdict, enum affinity_action action,
+       enum affinity_reason reason)
+{
+    verdict->action = action;
+    verdict->reason = reason;
+}
+
+/*
+ * A copy of an opening goes where the first one went: two targets that both
+ * answered would leave the caller with the cookie of one and the sequence
+ * numbers of the other.  Only a target that answers nobody is given up.
+ */
+static bool
+repeat_opening(struct affinity_core *core, uint64_t now_us,
+               const struct catalog *catalog, struct affinity_flow *flow,
+               struct affinity_verdict *verdict)
+{
+    struct affinity_load *load = affinity_load_of(core, flow->host);
+    const struct catalog_target *target =
+        catalog_find_target(catalog, flow->host);
+
+    affinity_load_unanswered(core, load, now_us);
+    if (target == NULL || target->state == CATALOG_GONE ||
+        affinity_load_suspect(load, now_us)) {
+        affinity_flow_end(core, flow);
+        return false;
+    }
+    flow->seen_us = now_us;
+    verdict->target = target;
+    verdict->busy = load->busy;
+    decide(verdict, AFFINITY_FORWARD, AFFINITY_REPEATED);
+    return true;
+}
+
+static void
+take_opening(struct affinity_core *core, uint64_t now_us,
+             const struct catalog *catalog,
+             const struct affinity_packet *packet,
+             struct affinity_verdict *verdict)
+{
+    const struct catalog_route *route = catalog_find_route(
+        catalog,
+        catalog_route_key(packet->destination, packet->destination_port));
+    struct affinity_flow *flow = affinity_flow_find(core, packet);
+    enum affinity_reason placed = AFFINITY_PLACED;
+
+    verdict->route = route;
+    if (route == NULL) {
+        decide(verdict, AFFINITY_RESET, AFFINITY_NO_ROUTE);
+        return;
+    }
+    if (flow != NULL && flow->first_sequence == packet->sequence) {
+        if (repeat_opening(core, now_us, catalog, flow, verdict)) {
+            return;
+        }
+        placed = AFFINITY_PLACED_ANEW;
+    }
+    else if (flow != NULL) {
+        affinity_flow_end(core, flow);
+    }
+    verdict->target =
+        affinity_place(core, now_us, catalog, route, &verdict->candidates);
+    if (verdict->target == NULL) {
+        decide(verdict, AFFINITY_RESET, AFFINITY_NO_TARGET);
+        return;
+    }
+    affinity_flow_open(core, now_us, packet, route, verdict->target->host);
+    verdict->busy = affinity_load_of(core, verdict->target->host)->busy;
+    core->counters.remote +=
+        verdict->target->zone != core->options.zone ? 1 : 0;
+    decide(verdict, AFFINITY_FORWARD, placed);
+}
+
+/* A packet of an open flow: its cookie names the target. */
+static void
+take_packet(struct affinity_core *core, uint64_t now_us,
+            const struct catalog *catalog,
+            const struct affinity_packet *packet,
+            struct affinity_verdict *verdict)
+{
+    struct affinity_flow *flow = affinity_flow_find(core, packet);
+
+    if (packet->cookie == 0) {
+        decide(verdict, AFFINITY_DROP, AFFINITY_NO_COOKIE);
+        return;
+    }
+    verdict->target = catalog_find_cookie(catalog, packet->cookie);
+    if (verdict->target == NULL) {
+        decide(verdict, AFFINITY_DROP, AFFINITY_UNKNOWN_COOKIE);
+        return;
+    }
+    if (flow != NULL && flow->host == verdict->target->host) {
+        affinity_flow_packet(core, now_us, flow, packet);
+    }
+    if (verdict->target->state == CATALOG_GONE) {
+        decide(verdict,
+               (packet->flags & AFFINITY_RST) != 0 ? AFFINITY_DROP
+                                                   : AFFINITY_RESET,
+               AFFINITY_TARGET_GONE);
+        return;
+    }
+    decide(verdict, AFFINITY_FORWARD, AFFINITY_COOKIE);
+}
+
+/* Decide what becomes of PACKET, which came from a caller. */
+void
+affinity_core_packet(struct affinity_core *core, uint64_t now_us,
+                     const struct catalog *catalog,
+                     const struct affinity_packet *packet,
+                     struct affinity_verdict *verdict)
+{
+    *verdict = (struct affinity_verdict){0};
+    if (catalog_version(catalog) == 0) {
+        decide(verdict, AFFINITY_DROP, AFFINITY_NOT_SYNCED);
+    }
+    else if ((packet->flags & AFFINITY_SYN) != 0) {
+        take_opening(core, now_us, catalog, packet, verdict);
+    }
+    else {
+        take_packet(core, now_us, catalog, packet, verdict);
+    }
+    core->counters.reasons[verdict->reason]++;
+}
+
+/* The catalog has changed: note since when targets are cold. */
+void
+affinity_core_catalog(struct affinity_core *core, uint64_t now_us,
+                      const struct catalog *catalog)
+{
+    const GPtrArray *targets = catalog_targets(catalog);
+
+    for (guint i = 0; i < targets->len; i++) {
+        const struct catalog_target *target = targets->pdata[i];
+        struct affinity_load *load;
+
+        if (target->state == CATALOG_GONE) {
+            g_hash_table_remove(core->loads, &target->host);
+            continue;
+        }
+        load = affinity_load_of(core, target->host);
+        if (load->cold_revision != target->revision) {
+            load->cold_revision = target->revision;
+            load->cold_until_us = now_us + (uint64_t)target->cold_ms * 1000;
+        }
+    }
+}
+
+/* Forget, now and then, flows that have fallen silent. */
+void
+affinity_core_tick(struct affinity_core *core, uint64_t now_us,
+                   const struct catalog *catalog)
+{
+    uint32_t idle_ms = catalog_idle_ms(catalog);
+
+    if (now_us < core->sweep_us) {
+        return;
+    }
+    core->sweep_us = now_us + SWEEP_US;
+    affinity_flow_sweep(core, now_us,
+                        (uint64_t)(idle_ms == 0 ? IDLE_DEFAULT_MS : idle_ms) *
+                            1000);
+}
+
+const struct affinity_counters *
+affinity_core_counters(const struct affinity_core *core)
+{
+    return &core->counters;
+}
+
+/* Flows that are followed at present. */
+size_t
+affinity_core_flows(const struct affinity_core *core)
+{
+    return g_hash_table_size(core->flows);
+}
--- /dev/null
+++ b/src/affinity/affinity.h
@@ -0,0 +1,101 @@
+/*
+ * Affinity by cookie: where the two ends of a flow repeat 32 bits that an
+ * entry daemon wrote into the flow's opening, any daemon reads the target
+ * from any packet and no flow needs state (Cheetah, NSDI 20).  State is kept
+ * only to place new flows well: it is a view of this daemon's own share of
+ * the flows, may be lost, and never decides where an open flow goes.
+ *
+ * Pure: packets and a catalog go in, verdicts come out.
+ */
+#ifndef PS_AFFINITY_AFFINITY_H
+#define PS_AFFINITY_AFFINITY_H
+
+#include "catalog/catalog.h"
+
+enum affinity_flag {
+    AFFINITY_SYN = 1,
+    AFFINITY_ACK = 2,
+    AFFINITY_FIN = 4,
+    AFFINITY_RST = 8,
+    AFFINITY_FLAG__MASK = 15
+};
+
+/* A packet that a caller has sent. */
+struct affinity_packet {
+    uint32_t source;
+    uint32_t destination; /* address of a route */
+    uint16_t source_port;
+    uint16_t destination_port;
+    unsigned flags;  /* of enum affinity_flag */
+    uint32_t cookie; /* 0 on the opening */
+    uint32_t sequence;
+    uint32_t acknowledged;
+    uint16_t payload; /* bytes of data */
+};
+
+enum affinity_action {
+    AFFINITY_FORWARD, /* to the target, with the cookie */
+    AFFINITY_RESET,   /* tell the caller that the flow has ended */
+    AFFINITY_DROP,    /* the caller sends it again */
+    AFFINITY_ACTION__MAX
+};
+
+enum affinity_reason {
+    AFFINITY_PLACED,         /* an opening, given to a target */
+    AFFINITY_REPEATED,       /* a copy of an opening, to the same target */
+    AFFINITY_PLACED_ANEW,    /* a copy; its first target does not answer */
+    AFFINITY_COOKIE,         /* of an open flow */
+    AFFINITY_NO_ROUTE,       /* nothing is routed to the address */
+    AFFINITY_NO_TARGET,      /* no living target in the route's pools */
+    AFFINITY_OVERLOAD,       /* waits would be longer than callers do */
+    AFFINITY_TARGET_GONE,    /* the flow's target has ended */
+    AFFINITY_UNKNOWN_COOKIE, /* of a target that is not known here (yet) */
+    AFFINITY_NO_COOKIE,      /* neither an opening nor of an open flow */
+    AFFINITY_NOT_SYNCED,     /* the catalog is not known yet */
+    AFFINITY_REASON__MAX
+};
+
+struct affinity_verdict {
+    enum affinity_action action;
+    enum affinity_reason reason;
+    const struct catalog_target *target; /* FORWARD; of the catalog */
+    const struct catalog_route *route;   /* openings; NULL if none */
+    uint32_t busy;       /* requests of the target in progress, as seen here */
+    uint32_t candidates; /* targets that could be chosen from */
+};
+
+/* Members left 0 take the default. */
+struct affinity_options {
+    uint32_t zone; /* of this daemon */
+    uint64_t seed;
+    uint32_t flows_max;        /* followed at once; 65,536 */
+    uint32_t silence_us;       /* an opening without an answer; 2,000,000 */
+    uint32_t suspect_us;       /* pause for a silent target; 1,000,000 */
+    uint32_t suspect_openings; /* unanswered in a row; 2 */
+};
+
+struct affinity_counters {
+    uint64_t reasons[AFFINITY_REASON__MAX];
+    uint64_t remote;    /* openings placed in another zone */
+    uint64_t suspected; /* targets that stopped answering openings */
+    uint64_t untracked; /* openings above flows_max */
+};
+
+struct affinity_core;
+
+struct affinity_core *affinity_core_new(const struct affinity_options *);
+void affinity_core_free(struct affinity_core *);
+void affinity_core_packet(struct affinity_core *, uint64_t now_us,
+                          const struct catalog *,
+                          const struct affinity_packet *,
+                          struct affinity_verdict *);
+void affinity_core_catalog(struct affinity_core *, uint64_t now_us,
+                           const struct catalog *);
+void affinity_core_tick(struct affinity_core *, uint64_t now_us,
+                        const struct catalog *);
+const struct affinity_counters *
+affinity_core_counters(const struct affinity_core *);
+size_t affinity_core_flows(const struct affinity_core *);
+const char *affinity_reason_name(enum affinity_reason);
+
+#endif
--- /dev/null
+++ b/src/affinity/affinity_flow.c
@@ -0,0 +1,202 @@
+/* Flows as this daemon sees them: openings, requests, answers, ends. */
+#include <string.h>
+
+#include "affinity/affinity_state.h"
+
+#define BUSY_LIMIT_US 5000000 /* a request is not followed for longer */
+#define HABIT_FLOWS   64      /* flows after which older ones count half */
+
+static struct affinity_habit *habit_of(struct affinity_core *, uint64_t);
+static struct affinity_key key_of(const struct affinity_packet *);
+static void set_busy(struct affinity_core *, struct affinity_flow *, bool);
+static void note_request(struct affinity_core *, uint64_t,
+                         struct affinity_flow *);
+static void note_answer(struct affinity_core *, uint64_t,
+                        struct affinity_flow *);
+
+static struct affinity_key
+key_of(const struct affinity_packet *packet)
+{
+    struct affinity_key key;
+
+    memset(&key, 0, sizeof(key));
+    key.source = packet->source;
+    key.destination = packet->destination;
+    key.source_port = packet->source_port;
+    key.destination_port = packet->destination_port;
+    return key;
+}
+
+static struct affinity_habit *
+habit_of(struct affinity_core *core, uint64_t route)
+{
+    struct affinity_habit *habit = g_hash_table_lookup(core->habits, &route);
+
+    if (habit == NULL) {
+        habit = g_new0(struct affinity_habit, 1);
+        habit->route = route;
+        g_hash_table_insert(core->habits, &habit->route, habit);
+    }
+    return habit;
+}
+
+/* True if most flows of ROUTE carry several requests. */
+bool
+affinity_flow_lasts(struct affinity_core *core, uint64_t route)
+{
+    const struct affinity_habit *habit = habit_of(core, route);
+
+    return habit->repeated * 2 > habit->flows;
+}
+
+/* The flow of PACKET, or NULL if it is not followed here. */
+struct affinity_flow *
+affinity_flow_find(struct affinity_core *core,
+                   const struct affinity_packet *packet)
+{
+    struct affinity_key key = key_of(packet);
+
+    return g_hash_table_lookup(core->flows, &key);
+}
+
+/* Follow the flow that PACKET opens; NULL if too many are followed. */
+struct affinity_flow *
+affinity_flow_open(struct affinity_core *core, uint64_t now_us,
+                   const struct affinity_packet *packet,
+                   const struct catalog_route *route, uint64_t host)
+{
+    struct affinity_flow *flow;
+    struct affinity_habit *habit = habit_of(core, route->key);
+
+    if (g_hash_table_size(core->flows) >= core->options.flows_max) {
+        core->counters.untracked++;
+        return NULL;
+    }
+    flow = g_new0(struct affinity_flow, 1);
+    flow->key = key_of(packet);
+    flow->host = host;
+    flow->route = route->key;
+    flow->first_sequence = packet->sequence;
+    flow->opened_us = now_us;
+    flow->seen_us = now_us;
+    flow->lasting = affinity_flow_lasts(core, route->key);
+    if (++habit->flows > HABIT_FLOWS) {
+        habit->flows /= 2;
+        habit->repeated /= 2;
+    }
+    g_hash_table_insert(core->flows, &flow->key, flow);
+    if (flow->lasting) {
+        affinity_load_of(core, host)->lasting++;
+    }
+    set_busy(core, flow, true);
+    return flow;
+}
+
+static void
+set_busy(struct affinity_core *core, struct affinity_flow *flow, bool busy)
+{
+    struct affinity_load *load = affinity_load_of(core, flow->host);
+
+    if (flow->busy == busy) {
+        return;
+    }
+    flow->busy = busy;
+    if (busy) {
+        load->busy++;
+    }
+    else if (load->busy > 0) {
+        load->busy--;
+    }
+}
+
+/* Forget FLOW, which is freed. */
+void
+affinity_flow_end(struct affinity_core *core, struct affinity_flow *flow)
+{
+    struct affinity_load *load = affinity_load_of(core, flow->host);
+
+    set_busy(core, flow, false);
+    if (flow->lasting && load->lasting > 0) {
+        load->lasting--;
+    }
+    g_hash_table_remove(core->flows, &flow->key);
+}
+
+static void
+note_request(struct affinity_core *core, uint64_t now_us,
+             struct affinity_flow *flow)
+{
+    if (!flow->busy || flow->requests == 0) {
+        flow->requests++;
+        if (flow->requests == 2) {
+            habit_of(core, flow->route)->repeated++;
+        }
+    }
+    flow->request_us = now_us;
+    set_busy(core, flow, true);
+}
+
+static void
+note_answer(struct affinity_core *core, uint64_t now_us,
+            struct affinity_flow *flow)
+{
+    if (flow->busy && flow->requests > 0) {
+        affinity_load_answered(affinity_load_of(core, flow->host), now_us,
+                               now_us - flow->request_us);
+        set_busy(core, flow, false);
+    }
+}
+
+/*
+ * PACKET of an open flow came by.  Data of the caller is a request, or a part
+ * of one; an acknowledgement that advances tells that the target answered.
+ */
+void
+affinity_flow_packet(struct affinity_core *core, uint64_t now_us,
+                     struct affinity_flow *flow,
+                     const struct affinity_packet *packet)
+{
+    flow->seen_us = now_us;
+    if ((packet->flags & (AFFINITY_FIN | AFFINITY_RST)) != 0) {
+        note_answer(core, now_us, flow);
+        affinity_flow_end(core, flow);
+        return;
+    }
+    if (flow->phase == AFFINITY_OPENING) {
+        struct affinity_load *load = affinity_load_of(core, flow->host);
+
+        flow->phase = AFFINITY_OPEN;
+        flow->acknowledged = packet->acknowledged;
+        load->unanswered = 0;
+        load->suspect_until_us = 0;
+    }
+    else if ((int32_t)(packet->acknowledged - flow->acknowledged) > 0) {
+        flow->acknowledged = packet->acknowledged;
+        note_answer(core, now_us, flow);
+    }
+    if (packet->payload > 0) {
+        note_request(core, now_us, flow);
+    }
+}
+
+/* Forget flows that ended without a word. */
+void
+affinity_flow_sweep(struct affinity_core *core, uint64_t now_us,
+                    uint64_t idle_us)
+{
+    GList *flows = g_hash_table_get_values(core->flows);
+
+    for (GList *item = flows; item != NULL; item = item->next) {
+        struct affinity_flow *flow = item->data;
+        uint64_t silent_us = now_us - MIN(now_us, flow->seen_us);
+
+        if (silent_us > idle_us || (flow->phase == AFFINITY_OPENING &&
+                                    silent_us > core->options.silence_us)) {
+            affinity_flow_end(core, flow);
+        }
+        else if (silent_us > BUSY_LIMIT_US) {
+            set_busy(core, flow, false);
+        }
+    }
+    g_list_free(flows);
+}
--- /dev/null
+++ b/src/catalog/catalog.c
@@ -0,0 +1,296 @@
+/* The catalog's rows, and look-ups in them. */
+#include "catalog/catalog.h"
+
+#include <string.h>
+
+#include "base/hash.h"
+#include "catalog/catalog_state.h"
+
+static gint by_host(gconstpointer, gconstpointer);
+static gint by_revision(gconstpointer, gconstpointer);
+static void index_cookies(struct catalog *);
+
+/* An empty catalog at revision 0. */
+struct catalog *
+catalog_new(void)
+{
+    struct catalog *catalog = g_new0(struct catalog, 1);
+
+    catalog->pools =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    catalog->routes =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    catalog->targets =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    catalog->cookies = g_hash_table_new(NULL, NULL);
+    catalog->sorted = g_ptr_array_new();
+    return catalog;
+}
+
+/* Free CATALOG; NULL is allowed. */
+void
+catalog_free(struct catalog *catalog)
+{
+    if (catalog == NULL) {
+        return;
+    }
+    if (catalog->document != NULL) {
+        g_bytes_unref(catalog->document);
+    }
+    g_hash_table_destroy(catalog->pools);
+    g_hash_table_destroy(catalog->routes);
+    g_hash_table_destroy(catalog->targets);
+    g_hash_table_destroy(catalog->cookies);
+    g_ptr_array_unref(catalog->sorted);
+    g_free(catalog);
+}
+
+/* Drop every row; the revision stays. */
+void
+catalog_reset(struct catalog *catalog)
+{
+    g_hash_table_remove_all(catalog->pools);
+    g_hash_table_remove_all(catalog->routes);
+    g_hash_table_remove_all(catalog->targets);
+    catalog_index(catalog);
+}
+
+uint64_t
+catalog_route_key(uint32_t address, uint16_t port)
+{
+    return (uint64_t)address << 16 | port;
+}
+
+/*
+ * The number that packets of open flows carry for the target on HOST, so that
+ * any daemon finds the target without a table of flows (Cheetah, NSDI 20).
+ */
+uint32_t
+catalog_cookie(uint64_t host)
+{
+    uint32_t cookie = (uint32_t)hash_pair(host, 0);
+
+    return cookie == 0 ? 1 : cookie;
+}
+
+void
+catalog_put_route(struct catalog *catalog, const struct catalog_route *route)
+{
+    struct catalog_route *own = g_memdup2(route, sizeof(*route));
+
+    g_hash_table_replace(catalog->routes, &own->key, own);
+}
+
+/* Set a target's row; catalog_index() must follow. */
+void
+catalog_put_target(struct catalog *catalog,
+                   const struct catalog_target *target)
+{
+    struct catalog_target *own = g_memdup2(target, sizeof(*target));
+
+    own->cookie = catalog_cookie(own->host);
+    g_hash_table_replace(catalog->targets, &own->host, own);
+}
+
+void
+catalog_put_pool(struct catalog *catalog, uint64_t id, const char *name)
+{
+    g_hash_table_replace(catalog->pools, g_memdup2(&id, sizeof(id)),
+                         g_strdup(name));
+}
+
+static gint
+by_host(gconstpointer a, gconstpointer b)
+{
+    const struct catalog_target *x = *(struct catalog_target *const *)a;
+    const struct catalog_target *y = *(struct catalog_target *const *)b;
+
+    return x->host < y->host ? -1 : x->host > y->host;
+}
+
+/* Oldest first, so that among equal cookies the earlier target keeps it. */
+static gint
+by_revision(gconstpointer a, gconstpointer b)
+{
+    const struct catalog_target *x = *(struct catalog_target *const *)a;
+    const struct catalog_target *y = *(struct catalog_target *const *)b;
+
+    return x->revision < y->revision ? -1 : x->revision > y->revision;
+}
+
+/*
+ * Cookies of targets that are gone are found too, but give way to living
+ * ones.  Where two living targets have one cookie, the later gets no flows.
+ */
+static void
+index_cookies(struct catalog *catalog)
+{
+    g_hash_table_remove_all(catalog->cookies);
+    for (guint i = 0; i < catalog->sorted->len; i++) {
+        struct catalog_target *target = catalog->sorted->pdata[i];
+        gpointer key = GUINT_TO_POINTER(target->cookie);
+        struct catalog_target *holder =
+            g_hash_table_lookup(catalog->cookies, key);
+
+        target->cookie_clashes =
+            holder != NULL && holder->state != CATALOG_GONE;
+        if (!target->cookie_clashes) {
+            g_hash_table_insert(catalog->cookies, key, target);
+        }
+    }
+}
+
+/* Bring the indexes up to date after targets have changed. */
+void
+catalog_index(struct catalog *catalog)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+
+    g_ptr_array_set_size(catalog->sorted, 0);
+    g_hash_table_iter_init(&iter, catalog->targets);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        g_ptr_array_add(catalog->sorted, value);
+    }
+    g_ptr_array_sort(catalog->sorted, by_revision);
+    index_cookies(catalog);
+    g_ptr_array_sort(catalog->sorted, by_host);
+}
+
+uint64_t
+catalog_revision(const struct catalog *catalog)
+{
+    return catalog->revision;
+}
+
+uint64_t
+catalog_changed(const struct catalog *catalog)
+{
+    return catalog->changed;
+}
+
+/* The operator's version in force; 0 before the first. */
+uint64_t
+catalog_version(const struct catalog *catalog)
+{
+    return catalog->version;
+}
+
+uint32_t
+catalog_idle_ms(const struct catalog *catalog)
+{
+    return catalog->idle_ms;
+}
+
+/* The operator's document in force, or NULL; borrowed. */
+GBytes *
+catalog_document(const struct catalog *catalog)
+{
+    return catalog->document;
+}
+
+/* The name of POOL, or "unknown". */
+const char *
+catalog_pool_name(const struct catalog *catalog, struct pool_id pool)
+{
+    const char *name = g_hash_table_lookup(catalog->pools, &pool.value);
+
+    return name == NULL ? "unknown" : name;
+}
+
+/* CATALOG_SEATS_MAX seats. */
+const struct catalog_seat *
+catalog_seats(const struct catalog *catalog)
+{
+    return catalog->seats;
+}
+
+/* The route in force for KEY, or NULL. */
+const struct catalog_route *
+catalog_find_route(const struct catalog *catalog, uint64_t key)
+{
+    const struct catalog_route *route =
+        g_hash_table_lookup(catalog->routes, &key);
+
+    return route == NULL || route->removed ? NULL : route;
+}
+
+/* The target on HOST, perhaps one that is gone, or NULL. */
+const struct catalog_target *
+catalog_find_target(const struct catalog *catalog, uint64_t host)
+{
+    return g_hash_table_lookup(catalog->targets, &host);
+}
+
+/* The target that COOKIE names, perhaps one that is gone, or NULL. */
+const struct catalog_target *
+catalog_find_cookie(const struct catalog *catalog, uint32_t cookie)
+{
+    return g_hash_table_lookup(catalog->cookies, GUINT_TO_POINTER(cookie));
+}
+
+/* Routes in force. */
+size_t
+catalog_route_count(const struct catalog *catalog)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+    size_t count = 0;
+
+    g_hash_table_iter_init(&iter, catalog->routes);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        count += ((struct catalog_route *)value)->removed ? 0 : 1;
+    }
+    return count;
+}
+
+const GPtrArray *
+catalog_targets(const struct catalog *catalog)
+{
+    return catalog->sorted;
+}
+
+/* Make TABLES empty. */
+void
+catalog_tables_init(struct catalog_tables *tables)
+{
+    memset(tables, 0, sizeof(*tables));
+    tables->routes = g_array_new(FALSE, TRUE, sizeof(struct catalog_route));
+    tables->pools =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+/* Name a pool that routes may use. */
+void
+catalog_tables_pool(struct catalog_tables *tables, const char *name)
+{
+    uint64_t id = view_pool_id(name).value;
+
+    g_hash_table_replace(tables->pools, g_memdup2(&id, sizeof(id)),
+                         g_strdup(name));
+}
+
+/* Drop what TABLES owns. */
+void
+catalog_tables_clear(struct catalog_tables *tables)
+{
+    if (tables->document != NULL) {
+        g_bytes_unref(tables->document);
+    }
+    if (tables->routes != NULL) {
+        g_array_unref(tables->routes);
+    }
+    if (tables->pools != NULL) {
+        g_hash_table_destroy(tables->pools);
+    }
+    memset(tables, 0, sizeof(*tables));
+}
+
+/* Drop what COMMAND owns. */
+void
+catalog_command_clear(struct catalog_command *command)
+{
+    if (command->kind == CATALOG_REPLACE) {
+        catalog_tables_clear(&command->u.tables);
+    }
+}
--- /dev/null
+++ b/src/catalog/catalog_state.h
@@ -0,0 +1,29 @@
+/* The state behind struct catalog: private to src/catalog. */
+#ifndef PS_CATALOG_CATALOG_STATE_H
+#define PS_CATALOG_CATALOG_STATE_H
+
+#include "catalog/catalog.h"
+
+struct catalog {
+    uint64_t revision;
+    uint64_t floor; /* differences from below it are not known any more */
+    uint64_t version;
+    uint64_t tables_revision;
+    uint64_t changed; /* last revision that changed a route or target */
+    uint32_t idle_ms;
+    GBytes *document;    /* NULL before the first tables, and on replicas */
+    GHashTable *pools;   /* id -> name */
+    GHashTable *routes;  /* key -> struct catalog_route, removed ones too */
+    GHashTable *targets; /* host -> struct catalog_target, gone ones too */
+    GHashTable *cookies; /* cookie -> struct catalog_target */
+    GPtrArray *sorted;   /* targets by host */
+    struct catalog_seat seats[CATALOG_SEATS_MAX];
+};
+
+void catalog_reset(struct catalog *);
+void catalog_put_route(struct catalog *, const struct catalog_route *);
+void catalog_put_target(struct catalog *, const struct catalog_target *);
+void catalog_put_pool(struct catalog *, uint64_t id, const char *name);
+void catalog_index(struct catalog *);
+
+#endif
--- /dev/null
+++ b/src/catalog/catalog_update.c
@@ -0,0 +1,181 @@
+/* Differences of the catalog, made on one daemon and merged on another. */
+#include <string.h>
+
+#include "catalog/catalog_state.h"
+#include "peer/catalog_wire.h"
+
+static void add_routes(const struct catalog *, uint64_t from,
+                       Parsleyspur__CatalogUpdate *);
+static void add_targets(const struct catalog *, uint64_t from,
+                        Parsleyspur__CatalogUpdate *);
+static void add_pools(const struct catalog *, Parsleyspur__CatalogUpdate *);
+static bool merge_rows(struct catalog *, const Parsleyspur__CatalogUpdate *);
+static void merge_head(struct catalog *, const Parsleyspur__CatalogUpdate *);
+
+static void
+add_routes(const struct catalog *catalog, uint64_t from,
+           Parsleyspur__CatalogUpdate *update)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+
+    g_hash_table_iter_init(&iter, catalog->routes);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct catalog_route *route = value;
+
+        if (route->revision > from && !(update->whole && route->removed)) {
+            catalog_wire_add_route(update, route);
+        }
+    }
+}
+
+static void
+add_targets(const struct catalog *catalog, uint64_t from,
+            Parsleyspur__CatalogUpdate *update)
+{
+    for (guint i = 0; i < catalog->sorted->len; i++) {
+        const struct catalog_target *target = catalog->sorted->pdata[i];
+
+        if (target->revision > from) {
+            catalog_wire_add_target(update, target);
+        }
+    }
+}
+
+static void
+add_pools(const struct catalog *catalog, Parsleyspur__CatalogUpdate *update)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+
+    g_hash_table_iter_init(&iter, catalog->pools);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        catalog_wire_add_pool(update, *(uint64_t *)key, value);
+    }
+}
+
+/*
+ * Append what has changed since the revision FROM, or the whole catalog if
+ * that is 0 or too long ago.
+ */
+void
+catalog_pack_update(const struct catalog *catalog, uint64_t from,
+                    enum catalog_scope scope, GByteArray *bytes)
+{
+    Parsleyspur__CatalogUpdate *update = g_malloc0(sizeof(*update));
+    gsize len = 0;
+
+    parsleyspur__catalog_update__init(update);
+    if (from < catalog->floor) {
+        from = 0;
+    }
+    update->from = from;
+    update->to = catalog->revision;
+    update->whole = from == 0;
+    update->version = catalog->version;
+    update->idle_ms = catalog->idle_ms;
+    update->tables_revision = catalog->tables_revision;
+    update->changed = catalog->changed;
+    add_routes(catalog, from, update);
+    add_targets(catalog, from, update);
+    if (catalog->tables_revision > from) {
+        add_pools(catalog, update);
+    }
+    if (scope == CATALOG_COMPLETE) {
+        for (size_t i = 0; i < CATALOG_SEATS_MAX; i++) {
+            catalog_wire_add_seat(update, i, &catalog->seats[i]);
+        }
+    }
+    if (scope == CATALOG_COMPLETE && catalog->document != NULL &&
+        catalog->tables_revision > from) {
+        const void *document = g_bytes_get_data(catalog->document, &len);
+
+        update->document.data = g_memdup2(document, len);
+        update->document.len = len;
+    }
+    catalog_wire_append(&update->base, bytes);
+    parsleyspur__catalog_update__free_unpacked(update, NULL);
+}
+
+static bool
+merge_rows(struct catalog *catalog, const Parsleyspur__CatalogUpdate *update)
+{
+    struct catalog_route route;
+    struct catalog_target target;
+
+    for (size_t i = 0; i < update->n_routes; i++) {
+        if (!catalog_wire_take_route(update->routes[i], &route)) {
+            return false;
+        }
+        catalog_put_route(catalog, &route);
+    }
+    for (size_t i = 0; i < update->n_targets; i++) {
+        if (!catalog_wire_take_target(update->targets[i], &target)) {
+            return false;
+        }
+        catalog_put_target(catalog, &target);
+    }
+    for (size_t i = 0; i < update->n_pools; i++) {
+        catalog_put_pool(catalog, update->pools[i]->id,
+                         update->pools[i]->name);
+    }
+    return true;
+}
+
+static void
+merge_head(struct catalog *catalog, const Parsleyspur__CatalogUpdate *update)
+{
+    catalog->revision = update->to;
+    catalog->changed = update->changed;
+    catalog->version = update->version;
+    catalog->idle_ms = update->idle_ms;
+    catalog->tables_revision = update->tables_revision;
+    for (size_t i = 0; i < update->n_seats; i++) {
+        if (update->seats[i]->seat < CATALOG_SEATS_MAX) {
+            catalog->seats[update->seats[i]->seat] = (struct catalog_seat){
+                update->seats[i]->address, update->seats[i]->revision};
+        }
+    }
+    if (update->document.len > 0) {
+        if (catalog->document != NULL) {
+            g_bytes_unref(catalog->document);
+        }
+        catalog->document =
+            g_bytes_new(update->document.data, update->document.len);
+    }
+}
+
+/*
+ * Take in an update of LEN bytes and tell in CHANGE what it changed.  What is
+ * not newer than the catalog changes nothing: a catalog never goes back.
+ * False if the bytes are no update, or one that starts beyond this catalog.
+ */
+bool
+catalog_merge(struct catalog *catalog, const uint8_t *data, size_t len,
+              struct catalog_change *change)
+{
+    Parsleyspur__CatalogUpdate *update =
+        parsleyspur__catalog_update__unpack(NULL, len, data);
+    bool ok = true;
+
+    memset(change, 0, sizeof(*change));
+    if (update == NULL) {
+        return false;
+    }
+    if (update->from > catalog->revision) {
+        ok = false;
+    }
+    else if (update->to > catalog->revision) {
+        if (update->whole) {
+            catalog_reset(catalog);
+        }
+        change->tables = update->tables_revision != catalog->tables_revision;
+        change->targets = update->n_targets > 0 || update->whole;
+        change->seats = update->n_seats > 0;
+        ok = merge_rows(catalog, update);
+        merge_head(catalog, update);
+        catalog_index(catalog);
+    }
+    parsleyspur__catalog_update__free_unpacked(update, NULL);
+    return ok;
+}
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -15,6 +15,15 @@
     CMD_USAGE = 2
 };
 
+/* A subcommand; a table of them ends with an empty row. */
+struct cmd_row {
+    const char *name;
+    const char *help;
+    enum cmd_status (*run)(int, char **);
+};
+
+enum cmd_status cmd_main(int argc, char **argv, const struct cmd_row *more);
+
 /* Each takes the arguments from its own name on. */
 enum cmd_status cmd_serve(int argc, char **argv);
 enum cmd_status cmd_settings(int argc, char **argv);
--- a/src/cmd/main.c
+++ b/src/cmd/cmd_main.c
@@ -1,33 +1,32 @@
-/* Entry point of the one binary: a table of subcommands. */
+/* The subcommands of the one binary, and those that a platform adds. */
 #include <locale.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "cmd/cmd.h"
 
-struct command_row {
-    const char *name;
-    const char *help;
-    enum cmd_status (*run)(int, char **);
-};
-
-static const struct command_row commands[] = {
+static const struct cmd_row commands[] = {
     {"serve", "run a daemon", cmd_serve},
     {"route", "list, get, set or delete rows of the routes table", cmd_route},
     {"pool", "list, get, set or delete rows of the pools table", cmd_pool},
     {"edit", "tell how far an edit has come", cmd_edit},
     {"status", "tell members, targets and versions", cmd_status},
     {"settings", "check flags and variables without starting", cmd_settings},
+    {NULL, NULL, NULL},
 };
 
-static void print_help(FILE *);
+static void print_help(FILE *, const struct cmd_row *more);
+static const struct cmd_row *find(const struct cmd_row *, const char *);
 
 static void
-print_help(FILE *out)
+print_help(FILE *out, const struct cmd_row *more)
 {
     fputs("usage: parsleyspur COMMAND [ARGUMENTS]\n\n", out);
-    for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
-        fprintf(out, "  %-9s %s\n", commands[i].name, commands[i].help);
+    for (const struct cmd_row *row = commands; row->name != NULL; row++) {
+        fprintf(out, "  %-9s %s\n", row->name, row->help);
+    }
+    for (const struct cmd_row *row = more; row->name != NULL; row++) {
+        fprintf(out, "  %-9s %s\n", row->name, row->help);
     }
     fputs("\n  --help     print this, or with a command its own help\n"
           "  --version  print the version\n",
@@ -45,9 +44,26 @@
     return CMD_USAGE;
 }
 
-int
-main(int argc, char **argv)
+/* The row of NAME in ROWS, or NULL. */
+static const struct cmd_row *
+find(const struct cmd_row *rows, const char *name)
+{
+    for (const struct cmd_row *row = rows; row->name != NULL; row++) {
+        if (strcmp(row->name, name) == 0) {
+            return row;
+        }
+    }
+    return NULL;
+}
+
+/*
+ * Run the subcommand that ARGV names: one of the product's, or of MORE, which
+ * ends with an empty row.
+ */
+enum cmd_status
+cmd_main(int argc, char **argv, const struct cmd_row *more)
 {
+    const struct cmd_row *row;
     char *message;
     enum cmd_status status;
 
@@ -56,17 +72,17 @@
         return cmd_usage_error(NULL, "no command given");
     }
     if (strcmp(argv[1], "--help") == 0) {
-        print_help(stdout);
+        print_help(stdout, more);
         return CMD_DONE;
     }
     if (strcmp(argv[1], "--version") == 0) {
         puts("parsleyspur " CMD_VERSION);
         return CMD_DONE;
     }
-    for (size_t i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
-        if (strcmp(argv[1], commands[i].name) == 0) {
-            return commands[i].run(argc - 1, argv + 1);
-        }
+    row = find(commands, argv[1]);
+    row = row != NULL ? row : find(more, argv[1]);
+    if (row != NULL) {
+        return row->run(argc - 1, argv + 1);
     }
     message = g_strdup_printf("no command \"%s\"", argv[1]);
     status = cmd_usage_error(NULL, message);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -83,6 +83,9 @@
     case PEER_HANDON_FLOW:
     case PEER_HANDON_CALL:
     case PEER_RELAY:
+    case PEER_PING:
+    case PEER_PONG:
+    case PEER_FLEET:
     case PEER_CHANNEL__MAX:
         counter_add(&daemon->counters, COUNTER_PEER_BAD_FRAMES, 1);
         break;
@@ -117,6 +120,9 @@
     case PEER_CONTROL:
     case PEER_FLOW:
     case PEER_CALL:
+    case PEER_PING:
+    case PEER_PONG:
+    case PEER_FLEET:
     case PEER_CHANNEL__MAX:
         counter_add(&daemon->counters, COUNTER_PEER_BAD_FRAMES, 1);
         break;
--- /dev/null
+++ b/src/fleet/fleet.h
@@ -0,0 +1,89 @@
+/*
+ * A fleet behind a fabric whose packets carry a cookie: control daemons keep
+ * the catalog in a replicated log and elect who votes; entry daemons hold a
+ * replica of the catalog and pass packets on.  What the edge's packets and
+ * the calls of operators and targets look like is given in as functions.
+ */
+#ifndef PS_FLEET_FLEET_H
+#define PS_FLEET_FLEET_H
+
+#include "affinity/affinity.h"
+#include "base/settings.h"
+#include "catalog/catalog.h"
+#include "edge/http.h"
+
+#define FLEET_SEEDS_MAX  3
+#define FLEET_PACKET_MAX 2048 /* bytes of a datagram with its envelope */
+
+enum fleet_role {
+    FLEET_ENTRY,
+    FLEET_CONTROL,
+    FLEET_ROLE__MAX
+};
+
+/* Addresses at which control daemons can be asked for others. */
+struct fleet_seeds {
+    size_t count;
+    uint32_t addresses[FLEET_SEEDS_MAX];
+};
+
+/* How packets look on the wire; each function is pure. */
+struct fleet_edge {
+    /* False if the bytes are no packet. */
+    bool (*decode)(const uint8_t *, size_t, struct affinity_packet *);
+    /* The packet as its target takes it; returns its length. */
+    size_t (*encode)(const uint8_t *packet, size_t len,
+                     const struct catalog_target *, uint8_t *out);
+    /* A reset in answer to a packet; returns its length. */
+    size_t (*encode_reset)(const struct affinity_packet *, uint8_t *out);
+};
+
+enum fleet_call_kind {
+    FLEET_CALL_READY,    /* may the fabric send packets here? */
+    FLEET_CALL_ANNOUNCE, /* of a target */
+    FLEET_CALL_LEAVE,    /* of a target */
+    FLEET_CALL_REPLACE,  /* of the tables */
+    FLEET_CALL_READ,     /* of the tables */
+    FLEET_CALL_BAD,      /* understood, but its content is not valid */
+    FLEET_CALL_UNKNOWN,
+    FLEET_CALL__MAX
+};
+
+/* A call of the platform, decoded; the owner clears it. */
+struct fleet_call {
+    enum fleet_call_kind kind;
+    union {
+        struct catalog_target target; /* ANNOUNCE, LEAVE */
+        struct catalog_tables tables; /* REPLACE */
+        char fault[256];              /* BAD: what is wrong, and the remedy */
+    } u;
+};
+
+struct fleet_options {
+    const char *name;
+    const char *zone;
+    enum fleet_role role;
+    uint32_t address;
+    uint16_t peer_port;
+    uint16_t metrics_port;
+    struct settings_endpoint packets;   /* entry: datagrams of callers */
+    uint16_t caller_port;               /* entry: resets go to this port */
+    struct settings_endpoint readiness; /* entry */
+    struct settings_endpoint calls;     /* control */
+    const char *data_dir;               /* control; NULL for none */
+    bool first_start;     /* the whole fleet starts for the first time */
+    unsigned losses;      /* control daemons that may be lost at once */
+    uint32_t announce_ms; /* between announcements of a target */
+    uint32_t grace_ms;    /* between a planned stop's signal and the end */
+    size_t body_max;      /* bytes of a call */
+    struct fleet_edge edge;
+    void (*decode_call)(const struct http_request *, struct fleet_call *);
+    /* Where control daemons are now; false if that cannot be read. */
+    bool (*read_seeds)(void *user, struct fleet_seeds *);
+    void *user;
+};
+
+bool fleet_run(const struct fleet_options *, GError **);
+void fleet_call_clear(struct fleet_call *);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_answer.c
@@ -0,0 +1,85 @@
+/* Answers to calls, and the metrics' own address. */
+#include <string.h>
+
+#include "fleet/fleet_private.h"
+
+#define METRICS_PATH "/metrics"
+
+static void on_metrics(void *, const struct http_request *);
+
+/* Answer with STATUS and a JSON body that holds MESSAGE, NULL for none. */
+void
+fleet_answer(struct fleet *fleet, struct http_handle handle, unsigned status,
+             const char *message)
+{
+    char *escaped, *body;
+
+    if (message == NULL) {
+        fleet_answer_json(fleet, handle, status, "{}", 2);
+        return;
+    }
+    escaped = g_strescape(message, NULL);
+    body = g_strdup_printf("{\"error\":\"%s\"}", escaped);
+    fleet_answer_json(fleet, handle, status, body, strlen(body));
+    g_free(body);
+    g_free(escaped);
+}
+
+void
+fleet_answer_json(struct fleet *fleet, struct http_handle handle,
+                  unsigned status, const char *body, size_t len)
+{
+    http_answer(fleet->http, handle, status, "application/json", body, len);
+}
+
+static void
+on_metrics(void *user, const struct http_request *request)
+{
+    struct fleet *fleet = user;
+    GString *text = g_string_new(NULL);
+    struct counter_extra extra[] = {
+        {"log_lines_left_out_total", "Log lines above the rate.", "counter",
+         (double)fleet_log_left_out(fleet->log)},
+        {"catalog_revision", "Revision of the catalog held.", "gauge",
+         (double)catalog_revision(fleet->catalog)},
+        {"catalog_version", "The operator's version in force.", "gauge",
+         (double)catalog_version(fleet->catalog)},
+    };
+
+    if (strcmp(request->path, METRICS_PATH) != 0) {
+        http_answer(fleet->metrics, request->handle, 404, "text/plain",
+                    "metrics are at " METRICS_PATH "\n",
+                    strlen("metrics are at " METRICS_PATH "\n"));
+        g_string_free(text, TRUE);
+        return;
+    }
+    counter_write_extra(extra, G_N_ELEMENTS(extra), text);
+    if (fleet->entry != NULL) {
+        fleet_entry_metrics(fleet, text);
+    }
+    if (fleet->control != NULL) {
+        fleet_control_metrics(fleet, text);
+    }
+    http_answer(fleet->metrics, request->handle, 200, "text/plain", text->str,
+                text->len);
+    g_string_free(text, TRUE);
+}
+
+/* Serve metrics, if there is a port for them. */
+bool
+fleet_metrics_start(struct fleet *fleet, GError **error)
+{
+    struct http_options options = {
+        .loop = &fleet->loop,
+        .listen = {fleet->options->address, fleet->options->metrics_port},
+        .connections_max = 8,
+        .handler = on_metrics,
+        .user = fleet,
+    };
+
+    if (fleet->options->metrics_port == 0) {
+        return true;
+    }
+    fleet->metrics = http_server_new(&options, error);
+    return fleet->metrics != NULL;
+}
--- /dev/null
+++ b/src/fleet/fleet_calls.c
@@ -0,0 +1,147 @@
+/* Calls of operators and targets, decoded by the platform's functions. */
+#include "fleet/fleet_control_private.h"
+
+static void take_announcement(struct fleet *, const struct http_request *,
+                              const struct catalog_target *);
+static void take_leave(struct fleet *, const struct http_request *,
+                       const struct catalog_target *);
+static void take_tables(struct fleet *, const struct http_request *,
+                        const struct catalog_tables *);
+static void take_read(struct fleet *, const struct http_request *);
+static void refuse(struct fleet *, const struct http_request *,
+                   unsigned status, const char *fault);
+
+/* Answer one call, now or when its outcome is known. */
+void
+fleet_calls_handle(void *user, const struct http_request *request)
+{
+    struct fleet *fleet = user;
+    struct fleet_call call;
+
+    fleet->options->decode_call(request, &call);
+    fleet->control->calls[call.kind]++;
+    switch (call.kind) {
+    case FLEET_CALL_ANNOUNCE:
+        take_announcement(fleet, request, &call.u.target);
+        break;
+    case FLEET_CALL_LEAVE:
+        take_leave(fleet, request, &call.u.target);
+        break;
+    case FLEET_CALL_REPLACE:
+        take_tables(fleet, request, &call.u.tables);
+        break;
+    case FLEET_CALL_READ:
+        take_read(fleet, request);
+        break;
+    case FLEET_CALL_READY:
+        fleet_answer(fleet, request->handle,
+                     fleet_control_in_touch(fleet) ? 200 : 503, NULL);
+        break;
+    case FLEET_CALL_BAD:
+        refuse(fleet, request, 400, call.u.fault);
+        break;
+    case FLEET_CALL_UNKNOWN:
+    case FLEET_CALL__MAX:
+        refuse(fleet, request, 404, "no such call; see the manual");
+        break;
+    }
+    fleet_call_clear(&call);
+}
+
+static void
+refuse(struct fleet *fleet, const struct http_request *request,
+       unsigned status, const char *fault)
+{
+    char *escaped = g_strescape(fault, NULL);
+
+    fleet_log_line(fleet->log, FLEET_LOG_REQUEST, fleet_now_us(),
+                   "call-refused", "\"status\":%u,\"fault\":\"%s\"", status,
+                   escaped);
+    fleet_answer(fleet, request->handle, status, fault);
+    g_free(escaped);
+}
+
+/*
+ * An announcement that changes something is answered once it is committed.
+ * One that does not only tells that the target is there; without the leader
+ * in touch that would not become known, so another daemon should hear it.
+ */
+static void
+take_announcement(struct fleet *fleet, const struct http_request *request,
+                  const struct catalog_target *target)
+{
+    struct catalog_command command = {.kind = CATALOG_ANNOUNCE};
+    struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL,
+                                  .what = "announcement"};
+
+    if (!fleet_control_in_touch(fleet)) {
+        fleet_answer(fleet, request->handle, 503,
+                     "cut off from the leader; ask another daemon");
+        return;
+    }
+    fleet_presence_heard(fleet, target->host);
+    if (!catalog_announce_is_new(fleet->catalog, target)) {
+        fleet_answer(fleet, request->handle, 200, NULL);
+        return;
+    }
+    command.u.target = *target;
+    waiter.u.http = request->handle;
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "announcement",
+                   "\"target\":\"%" G_GINT64_MODIFIER
+                   "x\",\"pool\":\"%" G_GINT64_MODIFIER
+                   "x\",\"state\":%d,\"born\":%" G_GUINT64_FORMAT
+                   ",\"sequence\":%" G_GUINT64_FORMAT,
+                   target->host, target->pool.value, target->state,
+                   target->born, target->sequence);
+    fleet_request_command(fleet, &command, &waiter);
+}
+
+static void
+take_leave(struct fleet *fleet, const struct http_request *request,
+           const struct catalog_target *target)
+{
+    const struct catalog_target *held =
+        catalog_find_target(fleet->catalog, target->host);
+    struct catalog_command command = {.kind = CATALOG_LEAVE};
+    struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL, .what = "leave"};
+
+    if (held != NULL && held->state == CATALOG_GONE &&
+        target->born <= held->born) {
+        fleet_answer(fleet, request->handle, 200, NULL);
+        return;
+    }
+    command.u.target = *target;
+    waiter.u.http = request->handle;
+    fleet_request_command(fleet, &command, &waiter);
+}
+
+/* A version that is not higher than the one in force changes nothing. */
+static void
+take_tables(struct fleet *fleet, const struct http_request *request,
+            const struct catalog_tables *tables)
+{
+    struct catalog_command command = {.kind = CATALOG_REPLACE};
+    struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL, .what = "tables"};
+
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "tables",
+                   "\"version\":%" G_GUINT64_FORMAT
+                   ",\"in_force\":%" G_GUINT64_FORMAT ",\"routes\":%u",
+                   tables->version, catalog_version(fleet->catalog),
+                   tables->routes->len);
+    if (tables->version <= catalog_version(fleet->catalog)) {
+        fleet_answer(fleet, request->handle, 200, NULL);
+        return;
+    }
+    command.u.tables = *tables;
+    waiter.u.http = request->handle;
+    fleet_request_command(fleet, &command, &waiter);
+}
+
+static void
+take_read(struct fleet *fleet, const struct http_request *request)
+{
+    struct fleet_waiter waiter = {.kind = FLEET_WAITER_READ, .what = "read"};
+
+    waiter.u.http = request->handle;
+    fleet_request_read(fleet, &waiter);
+}
--- /dev/null
+++ b/src/fleet/fleet_entry.c
@@ -0,0 +1,322 @@
+/*
+ * The entry role: a replica of the catalog, fed by control daemons, and the
+ * fabric's question whether packets may come.
+ */
+#include <string.h>
+
+#include "base/hash.h"
+#include "fleet/fleet_entry_private.h"
+
+#define GREET_US      1000000U /* between greetings of control daemons */
+#define CURRENT_US    1500000U /* a control daemon's lag that is no lag */
+#define FORWARD_MS    2500U    /* packets still come after a planned stop */
+#define STOP_SPARE_MS 1500U    /* kept of the time before a stop is enforced */
+
+static void on_call(void *, const struct http_request *);
+static bool is_ready(const struct fleet *);
+static bool is_current(const struct fleet_peer *, uint64_t now_us);
+static gint by_preference(gconstpointer, gconstpointer, gpointer);
+static void choose_feeds(struct fleet *, uint64_t now_us);
+static void greet(struct fleet *, uint32_t address, uint32_t rank);
+static void greet_feeds(struct fleet *, uint64_t now_us);
+static void take_update(struct fleet *, const struct fleet_peer *,
+                        const ProtobufCBinaryData *);
+static void log_connection(struct fleet *, uint64_t now_us);
+
+/* Start the role: packets, readiness, and the search for control daemons. */
+bool
+fleet_entry_start(struct fleet *fleet, GError **error)
+{
+    struct affinity_options affinity = {
+        .zone = fleet->zone,
+        .seed = hash_pair(fleet->options->address, fleet_now_us()),
+    };
+    struct http_options http = {
+        .loop = &fleet->loop,
+        .listen = fleet->options->readiness,
+        .connections_max = 32,
+        .handler = on_call,
+        .user = fleet,
+    };
+
+    fleet->entry = g_new0(struct fleet_entry, 1);
+    fleet->entry->affinity = affinity_core_new(&affinity);
+    if (!fleet_packet_start(fleet, error)) {
+        return false;
+    }
+    fleet->http = http_server_new(&http, error);
+    return fleet->http != NULL;
+}
+
+void
+fleet_entry_close(struct fleet *fleet)
+{
+    fleet_packet_close(fleet);
+}
+
+void
+fleet_entry_free(struct fleet *fleet)
+{
+    if (fleet->entry == NULL) {
+        return;
+    }
+    affinity_core_free(fleet->entry->affinity);
+    fleet_packet_free(fleet);
+    g_free(fleet->entry);
+    fleet->entry = NULL;
+}
+
+/*
+ * Whether new flows may come.  A daemon that has once held a current catalog
+ * goes on when it is cut off from every control daemon: its callers have no
+ * better one.
+ */
+static bool
+is_ready(const struct fleet *fleet)
+{
+    return fleet->entry->synced && !fleet->stopping;
+}
+
+static void
+on_call(void *user, const struct http_request *request)
+{
+    struct fleet *fleet = user;
+    struct fleet_call call;
+
+    fleet->options->decode_call(request, &call);
+    if (call.kind == FLEET_CALL_READY) {
+        fleet_answer(fleet, request->handle, is_ready(fleet) ? 200 : 503,
+                     is_ready(fleet) ? NULL : "not ready");
+    }
+    else {
+        fleet_answer(fleet, request->handle, 404,
+                     "an entry daemon answers readiness only");
+    }
+    fleet_call_clear(&call);
+}
+
+/* True if PEER feeds what the log's leader has lately confirmed. */
+static bool
+is_current(const struct fleet_peer *peer, uint64_t now_us)
+{
+    return fleet_peer_is_fresh(peer, now_us) && peer->seat != 0 &&
+           peer->lag_us < CURRENT_US;
+}
+
+/* Current ones first, then those of the own zone, then by a hash of both. */
+static gint
+by_preference(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct fleet *fleet = data;
+    const struct fleet_peer *x = *(struct fleet_peer *const *)a;
+    const struct fleet_peer *y = *(struct fleet_peer *const *)b;
+    uint64_t now_us = fleet_now_us();
+    uint64_t own = fleet->options->address;
+    bool x_current = is_current(x, now_us), y_current = is_current(y, now_us);
+    bool x_near = x->zone == fleet->zone, y_near = y->zone == fleet->zone;
+
+    if (x_current != y_current) {
+        return x_current ? -1 : 1;
+    }
+    if (x_near != y_near) {
+        return x_near ? -1 : 1;
+    }
+    return hash_pair(own, x->address) < hash_pair(own, y->address) ? -1 : 1;
+}
+
+/* Choose who feeds this daemon, the first one at once, others if it fails. */
+static void
+choose_feeds(struct fleet *fleet, uint64_t now_us)
+{
+    struct fleet_entry *entry = fleet->entry;
+    GPtrArray *controls = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer key, value;
+
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        if (((struct fleet_peer *)value)->control) {
+            g_ptr_array_add(controls, value);
+        }
+    }
+    g_ptr_array_sort_with_data(controls, by_preference, fleet);
+    entry->feed_count = 0;
+    for (guint i = 0; i < controls->len; i++) {
+        const struct fleet_peer *peer = controls->pdata[i];
+
+        if (entry->feed_count < FLEET_FEEDS_MAX && is_current(peer, now_us)) {
+            entry->feeds[entry->feed_count++] = peer->address;
+        }
+        else if (entry->feed_count < FLEET_FEEDS_MAX ||
+                 g_random_int_range(0, (gint32)controls->len) == 0) {
+            greet(fleet, peer->address, FLEET_FEEDS_MAX);
+        }
+    }
+    g_ptr_array_unref(controls);
+}
+
+/* Tell a control daemon what this daemon holds; that confirms it, too. */
+static void
+greet(struct fleet *fleet, uint32_t address, uint32_t rank)
+{
+    Parsleyspur__FleetMessage message = PARSLEYSPUR__FLEET_MESSAGE__INIT;
+    Parsleyspur__FleetGreeting greeting = PARSLEYSPUR__FLEET_GREETING__INIT;
+
+    greeting.revision = catalog_revision(fleet->catalog);
+    greeting.rank = rank;
+    greeting.zone = fleet->zone;
+    message.greeting = &greeting;
+    fleet_send(fleet, address, &message);
+}
+
+static void
+greet_feeds(struct fleet *fleet, uint64_t now_us)
+{
+    struct fleet_entry *entry = fleet->entry;
+
+    choose_feeds(fleet, now_us);
+    for (size_t i = 0; i < entry->feed_count; i++) {
+        greet(fleet, entry->feeds[i], (uint32_t)i);
+    }
+}
+
+static void
+log_connection(struct fleet *fleet, uint64_t now_us)
+{
+    struct fleet_entry *entry = fleet->entry;
+    bool connected =
+        now_us - entry->current_us < FLEET_FRESH_US && entry->current_us != 0;
+
+    if (connected != entry->connected) {
+        entry->connected = connected;
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, now_us,
+                       connected ? "control-regained" : "control-lost",
+                       "\"revision\":%" G_GUINT64_FORMAT
+                       ",\"version\":%" G_GUINT64_FORMAT,
+                       catalog_revision(fleet->catalog),
+                       catalog_version(fleet->catalog));
+    }
+}
+
+void
+fleet_entry_tick(struct fleet *fleet, uint64_t now_us)
+{
+    struct fleet_entry *entry = fleet->entry;
+
+    if (now_us >= entry->greet_us) {
+        greet_feeds(fleet, now_us);
+        entry->greet_us = now_us + (entry->feed_count == 0 || !entry->synced
+                                        ? FLEET_GREET_FAST_US
+                                        : GREET_US);
+    }
+    log_connection(fleet, now_us);
+    affinity_core_tick(entry->affinity, now_us, fleet->catalog);
+}
+
+/* Take in a difference; one that begins too late is asked for again. */
+static void
+take_update(struct fleet *fleet, const struct fleet_peer *peer,
+            const ProtobufCBinaryData *update)
+{
+    struct catalog_change change;
+    uint64_t now_us = fleet_now_us();
+    uint64_t before = catalog_revision(fleet->catalog);
+
+    if (!catalog_merge(fleet->catalog, update->data, update->len, &change)) {
+        counter_add(&fleet->counters, COUNTER_PEER_BAD_FRAMES, 1);
+    }
+    if (change.tables || change.targets) {
+        char *from = view_address_text(peer->address);
+
+        affinity_core_catalog(fleet->entry->affinity, now_us, fleet->catalog);
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, now_us, "catalog",
+                       "\"from\":\"%s\",\"before\":%" G_GUINT64_FORMAT
+                       ",\"revision\":%" G_GUINT64_FORMAT
+                       ",\"version\":%" G_GUINT64_FORMAT ",\"bytes\":%zu",
+                       from, before, catalog_revision(fleet->catalog),
+                       catalog_version(fleet->catalog), update->len);
+        g_free(from);
+    }
+    for (size_t i = 0; i < fleet->entry->feed_count; i++) {
+        greet(fleet, fleet->entry->feeds[i], (uint32_t)i);
+    }
+}
+
+/* A message of a control daemon. */
+void
+fleet_entry_message(struct fleet *fleet, struct fleet_peer *peer,
+                    const Parsleyspur__FleetMessage *message)
+{
+    struct fleet_entry *entry = fleet->entry;
+    uint64_t now_us = fleet_now_us();
+
+    if (message->greeting != NULL) {
+        fleet_peer_heard(fleet, peer, message->greeting);
+        if (is_current(peer, now_us)) {
+            entry->current_us = now_us;
+        }
+    }
+    if (message->update.len > 0) {
+        take_update(fleet, peer, &message->update);
+    }
+    if (!entry->synced && is_current(peer, now_us) &&
+        catalog_version(fleet->catalog) > 0 &&
+        catalog_revision(fleet->catalog) >= peer->revision) {
+        entry->synced = true;
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, now_us, "ready",
+                       "\"revision\":%" G_GUINT64_FORMAT,
+                       catalog_revision(fleet->catalog));
+    }
+}
+
+/* Packets go on for as long as the fabric may send some. */
+void
+fleet_entry_begin_stop(struct fleet *fleet)
+{
+    uint32_t grace_ms = fleet->options->grace_ms;
+    uint32_t limit_ms =
+        grace_ms > STOP_SPARE_MS ? grace_ms - STOP_SPARE_MS : grace_ms / 2;
+
+    fleet->stop_us =
+        fleet_now_us() + (uint64_t)MIN(FORWARD_MS, limit_ms) * 1000;
+}
+
+/* Append the role's metrics. */
+void
+fleet_entry_metrics(struct fleet *fleet, GString *out)
+{
+    const struct fleet_entry *entry = fleet->entry;
+    const struct affinity_counters *counters =
+        affinity_core_counters(entry->affinity);
+    struct counter_extra extra[] = {
+        {"packets_in_total", "Packets of callers.", "counter",
+         (double)entry->packets_in},
+        {"packets_out_total", "Packets sent on, resets among them.", "counter",
+         (double)entry->packets_out},
+        {"packets_malformed_total", "Datagrams that are no packet.", "counter",
+         (double)entry->malformed},
+        {"packets_lost_total", "Packets that the socket did not take.",
+         "counter", (double)entry->lost},
+        {"resets_total", "Resets sent to callers.", "counter",
+         (double)entry->resets},
+        {"flows_followed", "Flows whose packets come through here.", "gauge",
+         (double)affinity_core_flows(entry->affinity)},
+        {"flows_remote_total", "Openings placed in another zone.", "counter",
+         (double)counters->remote},
+        {"targets_suspected_total", "Targets that stopped answering.",
+         "counter", (double)counters->suspected},
+        {"ready", "Whether the fabric may send packets.", "gauge",
+         is_ready(fleet) ? 1 : 0},
+    };
+
+    counter_write_extra(extra, G_N_ELEMENTS(extra), out);
+    for (int i = 0; i < AFFINITY_REASON__MAX; i++) {
+        char *name = g_strdup_printf("verdicts_total{reason=\"%s\"}",
+                                     affinity_reason_name(i));
+        struct counter_extra row = {name, "Packets by decision.", "counter",
+                                    (double)counters->reasons[i]};
+
+        counter_write_extra(&row, 1, out);
+        g_free(name);
+    }
+}
--- /dev/null
+++ b/src/fleet/fleet_entry_private.h
@@ -0,0 +1,34 @@
+/* What the files of the entry role share. */
+#ifndef PS_FLEET_FLEET_ENTRY_PRIVATE_H
+#define PS_FLEET_FLEET_ENTRY_PRIVATE_H
+
+#include "daemon/packet_batch.h"
+#include "fleet/fleet_private.h"
+
+struct fleet_entry {
+    struct affinity_core *affinity;
+    bool synced;         /* has held a current catalog once */
+    uint64_t current_us; /* when a current control daemon was last heard */
+    uint64_t greet_us;
+    uint32_t feeds[FLEET_FEEDS_MAX]; /* addresses, the first feeds at once */
+    size_t feed_count;
+    bool connected; /* to a current control daemon, as last logged */
+
+    uv_udp_t udp;
+    int fd;
+    uint8_t *input; /* of one recvmmsg */
+    struct packet_batch batch;
+    uint8_t output[PACKET_BATCH_MAX][FLEET_PACKET_MAX];
+    uint64_t packets_in;
+    uint64_t packets_out;
+    uint64_t malformed;
+    uint64_t resets;
+    uint64_t lost; /* datagrams that the socket did not take */
+};
+
+/* fleet_packet.c */
+bool fleet_packet_start(struct fleet *, GError **);
+void fleet_packet_close(struct fleet *);
+void fleet_packet_free(struct fleet *);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_feed.c
@@ -0,0 +1,72 @@
+/*
+ * The catalog's way to entry daemons, and to control daemons without a seat:
+ * each gets the rows that are newer than what it has confirmed.  An entry
+ * daemon asks several control daemons, of which the first sends at once and
+ * the others only when its confirmation does not come.
+ */
+#include "fleet/fleet_control_private.h"
+
+#define RANK_DELAY_US                                                         \
+    300000U              /* for each daemon that should have sent before */
+#define AGAIN_US 300000U /* without a confirmation: send again */
+#define PACE_US  100000U /* between differences to one daemon */
+
+static bool is_due(const struct fleet_peer *, uint64_t changed,
+                   uint64_t now_us);
+static void feed(struct fleet *, struct fleet_peer *, uint64_t now_us);
+
+static bool
+is_due(const struct fleet_peer *peer, uint64_t changed, uint64_t now_us)
+{
+    uint64_t delay_us = (uint64_t)peer->rank * RANK_DELAY_US;
+    uint64_t pace_us = peer->behind_us < peer->sent_us ? AGAIN_US : PACE_US;
+
+    return peer->revision < changed && now_us - peer->behind_us >= delay_us &&
+           now_us - peer->sent_us >= pace_us;
+}
+
+static void
+feed(struct fleet *fleet, struct fleet_peer *peer, uint64_t now_us)
+{
+    Parsleyspur__FleetMessage message = PARSLEYSPUR__FLEET_MESSAGE__INIT;
+    GByteArray *bytes = g_byte_array_new();
+
+    catalog_pack_update(fleet->catalog, peer->revision,
+                        peer->control ? CATALOG_COMPLETE : CATALOG_FOR_ENTRY,
+                        bytes);
+    message.update.data = bytes->data;
+    message.update.len = bytes->len;
+    fleet_send(fleet, peer->address, &message);
+    g_byte_array_unref(bytes);
+    peer->sent_us = now_us;
+}
+
+/* Send each daemon what it lacks, if it is this one's turn. */
+void
+fleet_feed_all(struct fleet *fleet, uint64_t now_us)
+{
+    uint64_t changed = catalog_changed(fleet->catalog);
+    GHashTableIter iter;
+    gpointer key, value;
+
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        struct fleet_peer *peer = value;
+
+        if (peer->rank >= FLEET_FEEDS_MAX || peer->seat != 0 ||
+            !fleet_peer_is_fresh(peer, now_us)) {
+            peer->behind_us = 0;
+            continue;
+        }
+        if (peer->revision >= changed) {
+            peer->behind_us = 0;
+            continue;
+        }
+        if (peer->behind_us == 0) {
+            peer->behind_us = now_us;
+        }
+        if (is_due(peer, changed, now_us)) {
+            feed(fleet, peer, now_us);
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/fleet_log.c
@@ -0,0 +1,154 @@
+/* A bounded buffer of lines in front of a descriptor that may not take them.
+ */
+#include "fleet/fleet_log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINES_PER_S_DEFAULT  100
+#define BUFFER_BYTES_DEFAULT 65536
+#define LINE_MAX_BYTES       640
+#define BURST_S              2 /* lines of this many seconds may come at once */
+
+struct fleet_log {
+    struct fleet_log_options options;
+    GString *buffer;
+    double tokens;
+    uint64_t filled_us; /* when tokens were last added */
+    uint64_t left_out;
+    uint64_t told; /* of left_out, in a line */
+};
+
+static bool may_write(struct fleet_log *, enum fleet_log_weight, uint64_t);
+static void append(struct fleet_log *, const char *event, const char *members);
+
+/* A log on OPTIONS->fd, which stays open when the log is freed. */
+struct fleet_log *
+fleet_log_new(const struct fleet_log_options *options)
+{
+    struct fleet_log *log = g_new0(struct fleet_log, 1);
+    int flags = fcntl(options->fd, F_GETFL);
+
+    log->options = *options;
+    if (log->options.lines_per_s == 0) {
+        log->options.lines_per_s = LINES_PER_S_DEFAULT;
+    }
+    if (log->options.buffer_bytes == 0) {
+        log->options.buffer_bytes = BUFFER_BYTES_DEFAULT;
+    }
+    if (flags >= 0) {
+        fcntl(options->fd, F_SETFL, flags | O_NONBLOCK);
+    }
+    log->buffer = g_string_new(NULL);
+    log->tokens = (double)log->options.lines_per_s * BURST_S;
+    return log;
+}
+
+/* Write what the descriptor takes and free LOG. */
+void
+fleet_log_free(struct fleet_log *log)
+{
+    fleet_log_flush(log);
+    g_string_free(log->buffer, TRUE);
+    g_free(log);
+}
+
+/* Whether a line may be written: a token bucket, and room in the buffer. */
+static bool
+may_write(struct fleet_log *log, enum fleet_log_weight weight, uint64_t now_us)
+{
+    double rate = (double)log->options.lines_per_s;
+    double passed_s = (double)(now_us - log->filled_us) / 1e6;
+
+    if (log->buffer->len + LINE_MAX_BYTES > log->options.buffer_bytes) {
+        return false;
+    }
+    log->tokens = MIN(log->tokens + passed_s * rate, rate * BURST_S);
+    log->filled_us = now_us;
+    if (weight == FLEET_LOG_STATE) {
+        return true;
+    }
+    if (log->tokens < 1) {
+        return false;
+    }
+    log->tokens--;
+    return true;
+}
+
+static void
+append(struct fleet_log *log, const char *event, const char *members)
+{
+    struct timespec now;
+    struct tm parts;
+    char when[32];
+
+    clock_gettime(CLOCK_REALTIME, &now);
+    gmtime_r(&now.tv_sec, &parts);
+    strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &parts);
+    g_string_append_printf(log->buffer,
+                           "{\"time\":\"%s.%03ldZ\",\"daemon\":\"%s\","
+                           "\"event\":\"%s\"%s%s}\n",
+                           when, now.tv_nsec / 1000000, log->options.daemon,
+                           event, members[0] == '\0' ? "" : ",", members);
+}
+
+/*
+ * Add one line.  EVENT names what happened; FORMAT and what follows give the
+ * members that say why.  Lines wait for fleet_log_flush().
+ */
+void
+fleet_log_line(struct fleet_log *log, enum fleet_log_weight weight,
+               uint64_t now_us, const char *event, const char *format, ...)
+{
+    char members[LINE_MAX_BYTES / 2];
+    va_list list;
+
+    if (!may_write(log, weight, now_us)) {
+        log->left_out++;
+        return;
+    }
+    va_start(list, format);
+    g_vsnprintf(members, sizeof(members), format, list);
+    va_end(list);
+    append(log, event, members);
+}
+
+/* Hand the lines to the descriptor; what it does not take stays. */
+void
+fleet_log_flush(struct fleet_log *log)
+{
+    ssize_t written;
+
+    if (log->left_out > log->told &&
+        log->buffer->len + LINE_MAX_BYTES <= log->options.buffer_bytes) {
+        char members[64];
+
+        g_snprintf(members, sizeof(members), "\"lines\":%" G_GUINT64_FORMAT,
+                   log->left_out - log->told);
+        append(log, "log-lines-left-out", members);
+        log->told = log->left_out;
+    }
+    if (log->buffer->len == 0) {
+        return;
+    }
+    written = write(log->options.fd, log->buffer->str, log->buffer->len);
+    if (written > 0) {
+        g_string_erase(log->buffer, 0, written);
+    }
+    else if (written < 0 && errno != EAGAIN && errno != EINTR) {
+        log->left_out++; /* nobody reads: there is no one to tell */
+        g_string_truncate(log->buffer, 0);
+    }
+}
+
+/* Lines that were left out so far. */
+uint64_t
+fleet_log_left_out(const struct fleet_log *log)
+{
+    return log->left_out;
+}
--- /dev/null
+++ b/src/fleet/fleet_packet.c
@@ -0,0 +1,189 @@
+/* Packets of callers: read, decided on, sent to targets. */
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "fleet/fleet_entry_private.h"
+
+#define READ_MAX      65536 /* bytes that libuv gives a datagram */
+#define READ_BATCH    PACKET_BATCH_MAX
+#define SOCKET_BUFFER 1048576 /* bytes asked for; the kernel may cut */
+
+static void alloc_input(uv_handle_t *, size_t, uv_buf_t *);
+static void on_packet(uv_udp_t *, ssize_t, const uv_buf_t *,
+                      const struct sockaddr *, unsigned);
+static void pass(struct fleet *, const uint8_t *, size_t);
+static void send_to(struct fleet_entry *, uint32_t address, uint16_t port,
+                    uint8_t *, size_t);
+static void flush(struct fleet_entry *);
+static void tell(struct fleet *, uint64_t now_us,
+                 const struct affinity_packet *,
+                 const struct affinity_verdict *);
+
+static void
+alloc_input(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    struct fleet *fleet = handle->data;
+
+    (void)suggested;
+    *buffer = uv_buf_init((char *)fleet->entry->input, READ_MAX * READ_BATCH);
+}
+
+/* Open the socket that the fabric sends to. */
+bool
+fleet_packet_start(struct fleet *fleet, GError **error)
+{
+    struct fleet_entry *entry = fleet->entry;
+    struct settings_endpoint listen = fleet->options->packets;
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons(listen.port),
+        .sin_addr.s_addr = htonl(listen.address),
+    };
+    int size = SOCKET_BUFFER;
+    int failed;
+
+    packet_batch_init(&entry->batch);
+    entry->input = g_malloc((size_t)READ_MAX * READ_BATCH);
+    uv_udp_init_ex(&fleet->loop, &entry->udp, AF_INET | UV_UDP_RECVMMSG);
+    entry->udp.data = fleet;
+    failed = uv_udp_bind(&entry->udp, (struct sockaddr *)&address, 0);
+    if (failed == 0) {
+        uv_recv_buffer_size((uv_handle_t *)&entry->udp, &size);
+        uv_fileno((uv_handle_t *)&entry->udp, &entry->fd);
+        failed = uv_udp_recv_start(&entry->udp, alloc_input, on_packet);
+    }
+    if (failed != 0) {
+        g_set_error(error, ERR_DOMAIN, ERR_NETWORK,
+                    "cannot receive packets on port %u: %s; stop what holds "
+                    "it, or change the settings",
+                    listen.port, uv_strerror(failed));
+        return false;
+    }
+    return true;
+}
+
+void
+fleet_packet_close(struct fleet *fleet)
+{
+    if (!uv_is_closing((uv_handle_t *)&fleet->entry->udp)) {
+        uv_close((uv_handle_t *)&fleet->entry->udp, NULL);
+    }
+}
+
+void
+fleet_packet_free(struct fleet *fleet)
+{
+    g_free(fleet->entry->input);
+}
+
+/* Libuv ends a batch with a call that carries no packet. */
+static void
+on_packet(uv_udp_t *udp, ssize_t len, const uv_buf_t *buffer,
+          const struct sockaddr *from, unsigned flags)
+{
+    struct fleet *fleet = udp->data;
+
+    if (len > 0 && from != NULL) {
+        pass(fleet, (const uint8_t *)buffer->base, (size_t)len);
+    }
+    if ((flags & UV_UDP_MMSG_CHUNK) == 0) {
+        flush(fleet->entry);
+    }
+}
+
+static void
+flush(struct fleet_entry *entry)
+{
+    if (entry->batch.count > 0) {
+        entry->lost += packet_batch_flush(&entry->batch, entry->fd);
+    }
+}
+
+static void
+send_to(struct fleet_entry *entry, uint32_t address, uint16_t port,
+        uint8_t *data, size_t len)
+{
+    struct sockaddr_in to = {
+        .sin_family = AF_INET,
+        .sin_port = htons(port),
+        .sin_addr.s_addr = htonl(address),
+    };
+
+    entry->packets_out++;
+    entry->lost += packet_batch_add(&entry->batch, entry->fd, &to, data, len);
+}
+
+/* A line for a decision on an opening, a reset, or a packet that is lost. */
+static void
+tell(struct fleet *fleet, uint64_t now_us,
+     const struct affinity_packet *packet,
+     const struct affinity_verdict *verdict)
+{
+    static const char *const actions[AFFINITY_ACTION__MAX] = {
+        [AFFINITY_FORWARD] = "forward",
+        [AFFINITY_RESET] = "reset",
+        [AFFINITY_DROP] = "drop",
+    };
+    struct in_addr from = {htonl(packet->source)};
+    char source[INET_ADDRSTRLEN];
+
+    inet_ntop(AF_INET, &from, source, sizeof(source));
+    fleet_log_line(
+        fleet->log, FLEET_LOG_REQUEST, now_us, "flow",
+        "\"caller\":\"%s:%u\",\"to\":\"%u.%u.%u.%u:%u\",\"action\":\"%s\","
+        "\"reason\":\"%s\",\"target\":\"%" G_GINT64_MODIFIER
+        "x\",\"busy\":%u,\"candidates\":%u,\"version\":%" G_GUINT64_FORMAT
+        ",\"revision\":%" G_GUINT64_FORMAT ",\"age_ms\":%" G_GUINT64_FORMAT,
+        source, packet->source_port, packet->destination >> 24,
+        packet->destination >> 16 & 255, packet->destination >> 8 & 255,
+        packet->destination & 255, packet->destination_port,
+        actions[verdict->action], affinity_reason_name(verdict->reason),
+        verdict->target == NULL ? 0 : verdict->target->host, verdict->busy,
+        verdict->candidates, catalog_version(fleet->catalog),
+        catalog_revision(fleet->catalog),
+        (now_us - MIN(now_us, fleet->entry->current_us)) / 1000);
+}
+
+/* Decide on one packet and carry the decision out. */
+static void
+pass(struct fleet *fleet, const uint8_t *data, size_t len)
+{
+    struct fleet_entry *entry = fleet->entry;
+    const struct fleet_edge *edge = &fleet->options->edge;
+    struct affinity_packet packet;
+    struct affinity_verdict verdict;
+    uint64_t now_us = fleet_now_us();
+    uint8_t *out;
+
+    entry->packets_in++;
+    if (len > FLEET_PACKET_MAX / 2 + FLEET_PACKET_MAX / 4 ||
+        !edge->decode(data, len, &packet)) {
+        entry->malformed++;
+        return;
+    }
+    affinity_core_packet(entry->affinity, now_us, fleet->catalog, &packet,
+                         &verdict);
+    if (verdict.reason != AFFINITY_COOKIE) {
+        tell(fleet, now_us, &packet, &verdict);
+    }
+    if (entry->batch.count == PACKET_BATCH_MAX) {
+        flush(entry);
+    }
+    out = entry->output[entry->batch.count];
+    switch (verdict.action) {
+    case AFFINITY_FORWARD:
+        len = edge->encode(data, len, verdict.target, out);
+        send_to(entry, verdict.target->address, verdict.target->port, out,
+                len);
+        break;
+    case AFFINITY_RESET:
+        entry->resets++;
+        len = edge->encode_reset(&packet, out);
+        send_to(entry, packet.source, fleet->options->caller_port, out, len);
+        break;
+    case AFFINITY_DROP:
+    case AFFINITY_ACTION__MAX:
+        break;
+    }
+}
--- /dev/null
+++ b/src/fleet/fleet_private.h
@@ -0,0 +1,108 @@
+/* What the files of src/fleet share. */
+#ifndef PS_FLEET_FLEET_PRIVATE_H
+#define PS_FLEET_FLEET_PRIVATE_H
+
+#include <uv.h>
+
+#include "base/counter.h"
+#include "fleet/fleet.h"
+#include "fleet/fleet_log.h"
+#include "peer/catalog_wire.h"
+#include "peer/fleet.pb-c.h"
+#include "peer/mesh.h"
+
+#define FLEET_GREET_US      500000U  /* between greetings of control daemons */
+#define FLEET_GREET_FAST_US 200000U  /* while something is being looked for */
+#define FLEET_FRESH_US      2000000U /* a peer heard within it is reachable */
+#define FLEET_FEEDS_MAX     3U       /* control daemons that feed an entry */
+
+struct fleet_control;
+struct fleet_entry;
+
+/* Another daemon, as its last greeting described it. */
+struct fleet_peer {
+    uint32_t address;
+    struct daemon_id id;
+    bool control;
+    uint64_t heard_us; /* 0 if never */
+    uint32_t zone;
+    uint32_t seat; /* from 1; 0 for none */
+    bool empty;    /* could take a seat */
+    uint32_t leader;
+    uint64_t lag_us;
+    uint64_t revision; /* of its catalog */
+    /* How this daemon feeds it. */
+    bool fed;
+    uint32_t rank;
+    uint64_t sent_us;
+    uint64_t behind_us; /* since when it has lacked something; 0 if not */
+};
+
+struct fleet {
+    const struct fleet_options *options;
+    struct settings mesh_settings;
+    uint32_t zone;
+    uv_loop_t loop;
+    uv_timer_t tick;
+    uv_signal_t sigterm;
+    uv_signal_t sigint;
+    uv_signal_t sighup;
+    struct mesh *mesh;
+    struct http_server *http;    /* calls, or readiness */
+    struct http_server *metrics; /* NULL without a port for it */
+    struct counters counters;
+    struct fleet_log *log;
+    struct fleet_seeds seeds;
+    GHashTable *peers; /* address -> struct fleet_peer */
+    struct catalog *catalog;
+    uint64_t greet_us;
+    uint64_t seeds_us; /* when to look at the seeds next */
+    bool stopping;
+    uint64_t stop_us;              /* when a planned stop ends */
+    struct fleet_control *control; /* of its role, else NULL */
+    struct fleet_entry *entry;
+};
+
+/* fleet.c */
+uint64_t fleet_now_us(void);
+void fleet_end(struct fleet *);
+
+/* fleet_peer.c: daemons known, and messages to them */
+struct fleet_peer *fleet_peer_of(struct fleet *, uint32_t address);
+void fleet_peer_learn(struct fleet *, uint32_t address);
+bool fleet_peer_is_fresh(const struct fleet_peer *, uint64_t now_us);
+void fleet_peer_heard(struct fleet *, struct fleet_peer *,
+                      const Parsleyspur__FleetGreeting *);
+void fleet_peer_forget(struct fleet *, uint64_t now_us);
+void fleet_send(struct fleet *, uint32_t address,
+                const Parsleyspur__FleetMessage *);
+void fleet_read_seeds(struct fleet *);
+
+/* fleet_answer.c: answers to calls over HTTP */
+void fleet_answer(struct fleet *, struct http_handle, unsigned status,
+                  const char *message);
+void fleet_answer_json(struct fleet *, struct http_handle, unsigned status,
+                       const char *body, size_t len);
+bool fleet_metrics_start(struct fleet *, GError **);
+
+/* fleet_entry.c */
+bool fleet_entry_start(struct fleet *, GError **);
+void fleet_entry_tick(struct fleet *, uint64_t now_us);
+void fleet_entry_message(struct fleet *, struct fleet_peer *,
+                         const Parsleyspur__FleetMessage *);
+void fleet_entry_begin_stop(struct fleet *);
+void fleet_entry_close(struct fleet *);
+void fleet_entry_free(struct fleet *);
+void fleet_entry_metrics(struct fleet *, GString *);
+
+/* fleet_control.c */
+bool fleet_control_start(struct fleet *, GError **);
+void fleet_control_tick(struct fleet *, uint64_t now_us);
+void fleet_control_message(struct fleet *, struct fleet_peer *,
+                           const Parsleyspur__FleetMessage *);
+void fleet_control_begin_stop(struct fleet *);
+void fleet_control_close(struct fleet *);
+void fleet_control_free(struct fleet *);
+void fleet_control_metrics(struct fleet *, GString *);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_seat_file.c
@@ -0,0 +1,196 @@
+/*
+ * The seats as last known, kept beside the log: after a restart a voter must
+ * know its own seat, and where the others are, before it says anything.
+ */
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib/gstdio.h>
+
+#include "fleet/fleet_control_private.h"
+
+#define FILE_NAME  "seats"
+#define FILE_NEW   "seats.new"
+#define LOG_PREFIX "log-"
+
+static char *path_of(const struct fleet *, const char *name);
+static bool write_file(const char *path, const GByteArray *);
+static bool sync_folder(const char *path);
+static void remove_folder(const char *path);
+static GByteArray *pack(const struct fleet *);
+
+/* NAME within the data folder; the caller frees it. */
+static char *
+path_of(const struct fleet *fleet, const char *name)
+{
+    return g_build_filename(fleet->options->data_dir, name, NULL);
+}
+
+static GByteArray *
+pack(const struct fleet *fleet)
+{
+    const struct fleet_control *control = fleet->control;
+    Parsleyspur__FleetGreeting *file = g_malloc0(sizeof(*file));
+    GByteArray *bytes = g_byte_array_new();
+
+    parsleyspur__fleet_greeting__init(file);
+    file->seat = (uint32_t)control->seat;
+    file->seat_count = (uint32_t)control->seat_count;
+    file->members_known = control->formed;
+    file->revision = control->log_number;
+    file->seats = g_new0(Parsleyspur__CatalogSeat *, CATALOG_SEATS_MAX);
+    file->n_seats = control->seat_count;
+    for (size_t i = 0; i < control->seat_count; i++) {
+        file->seats[i] = catalog_wire_seat(i, &control->seats[i]);
+    }
+    catalog_wire_append(&file->base, bytes);
+    parsleyspur__fleet_greeting__free_unpacked(file, NULL);
+    return bytes;
+}
+
+static bool
+write_file(const char *path, const GByteArray *bytes)
+{
+    int fd = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    bool ok;
+
+    if (fd < 0) {
+        return false;
+    }
+    ok = write(fd, bytes->data, bytes->len) == (ssize_t)bytes->len &&
+         fsync(fd) == 0;
+    return close(fd) == 0 && ok;
+}
+
+static bool
+sync_folder(const char *path)
+{
+    int fd = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    bool ok;
+
+    if (fd < 0) {
+        return false;
+    }
+    ok = fsync(fd) == 0;
+    return close(fd) == 0 && ok;
+}
+
+/*
+ * Store the seats.  A failure is told and not waited for: the file before it
+ * still names seats that others correct, and the log's own files refuse the
+ * daemon a vote if they are lost.
+ */
+void
+fleet_seat_file_write(struct fleet *fleet)
+{
+    GByteArray *bytes = pack(fleet);
+    char *new_path = path_of(fleet, FILE_NEW);
+    char *path = path_of(fleet, FILE_NAME);
+
+    if (!write_file(new_path, bytes) || rename(new_path, path) != 0 ||
+        !sync_folder(fleet->options->data_dir)) {
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+                       "seats-not-stored",
+                       "\"error\":\"%s\",\"remedy\":\"see to the data "
+                       "folder's disk\"",
+                       g_strerror(errno));
+    }
+    g_byte_array_unref(bytes);
+    g_free(new_path);
+    g_free(path);
+}
+
+/* Take the seats from the file; false if there is none, or a damaged one. */
+bool
+fleet_seat_file_read(struct fleet *fleet)
+{
+    struct fleet_control *control = fleet->control;
+    char *path = path_of(fleet, FILE_NAME);
+    Parsleyspur__FleetGreeting *file = NULL;
+    gchar *data = NULL;
+    gsize len = 0;
+    bool ok;
+
+    if (g_file_get_contents(path, &data, &len, NULL)) {
+        file = parsleyspur__fleet_greeting__unpack(NULL, len,
+                                                   (const uint8_t *)data);
+    }
+    ok = file != NULL && file->seat_count > 0 &&
+         file->seat_count <= CATALOG_SEATS_MAX &&
+         file->seat <= file->seat_count && file->n_seats == file->seat_count;
+    if (ok) {
+        control->seat = file->seat;
+        control->seat_count = file->seat_count;
+        control->formed = file->members_known;
+        control->log_number = (uint32_t)file->revision;
+        for (size_t i = 0; i < file->n_seats; i++) {
+            control->seats[i].address = file->seats[i]->address;
+            control->seats[i].revision = file->seats[i]->revision;
+        }
+    }
+    if (file != NULL) {
+        parsleyspur__fleet_greeting__free_unpacked(file, NULL);
+    }
+    g_free(data);
+    g_free(path);
+    return ok;
+}
+
+/*
+ * The folder of the log for the present tenure of a seat; the caller frees
+ * it.  Each tenure has its own, so that what a lost seat's log holds is never
+ * taken for the next one's.
+ */
+char *
+fleet_seat_log_folder(const struct fleet *fleet)
+{
+    char *name = g_strdup_printf(LOG_PREFIX "%u", fleet->control->log_number);
+    char *path = path_of(fleet, name);
+
+    g_free(name);
+    return path;
+}
+
+static void
+remove_folder(const char *path)
+{
+    GDir *folder = g_dir_open(path, 0, NULL);
+    const char *name;
+
+    while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
+        char *file = g_build_filename(path, name, NULL);
+
+        g_unlink(file);
+        g_free(file);
+    }
+    if (folder != NULL) {
+        g_dir_close(folder);
+    }
+    g_rmdir(path);
+}
+
+/* Remove the logs of earlier tenures. */
+void
+fleet_seat_remove_logs(struct fleet *fleet)
+{
+    GDir *folder = g_dir_open(fleet->options->data_dir, 0, NULL);
+    char *own = fleet_seat_log_folder(fleet);
+    const char *name;
+
+    while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
+        char *path = path_of(fleet, name);
+
+        if (g_str_has_prefix(name, LOG_PREFIX) &&
+            (fleet->control->seat == 0 || strcmp(path, own) != 0)) {
+            remove_folder(path);
+        }
+        g_free(path);
+    }
+    if (folder != NULL) {
+        g_dir_close(folder);
+    }
+    g_free(own);
+}
--- /dev/null
+++ b/src/peer/catalog_wire.c
@@ -0,0 +1,332 @@
+/* Packing and unpacking of the catalog's rows and commands. */
+#include "peer/catalog_wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define GROWTH 16 /* rows by which an array grows */
+
+static void *add_row(size_t *count, void ***rows, size_t size);
+static void fill_target(Parsleyspur__CatalogTarget *,
+                        const struct catalog_target *);
+static void fill_seat(Parsleyspur__CatalogSeat *, size_t index,
+                      const struct catalog_seat *);
+static Parsleyspur__CatalogTarget *target_row(const struct catalog_target *);
+static Parsleyspur__CatalogUpdate *
+tables_message(const struct catalog_tables *);
+static bool take_tables(const Parsleyspur__CatalogUpdate *,
+                        struct catalog_tables *);
+static bool take_target_command(const Parsleyspur__CatalogTarget *,
+                                enum catalog_command_kind,
+                                struct catalog_command *);
+
+/* Append the packed MESSAGE to BYTES. */
+void
+catalog_wire_append(const ProtobufCMessage *message, GByteArray *bytes)
+{
+    size_t len = protobuf_c_message_get_packed_size(message);
+    guint at = bytes->len;
+
+    g_byte_array_set_size(bytes, at + (guint)len);
+    protobuf_c_message_pack(message, bytes->data + at);
+}
+
+/* A zeroed row of SIZE bytes at the end of an array that grows as needed. */
+static void *
+add_row(size_t *count, void ***rows, size_t size)
+{
+    if (*count % GROWTH == 0) {
+        *rows = g_realloc_n(*rows, *count + GROWTH, sizeof(**rows));
+    }
+    (*rows)[*count] = g_malloc0(size);
+    return (*rows)[(*count)++];
+}
+
+void
+catalog_wire_add_route(Parsleyspur__CatalogUpdate *update,
+                       const struct catalog_route *route)
+{
+    Parsleyspur__CatalogRoute *row =
+        add_row(&update->n_routes, (void ***)&update->routes, sizeof(*row));
+
+    parsleyspur__catalog_route__init(row);
+    row->address = (uint32_t)(route->key >> 16);
+    row->port = (uint16_t)route->key;
+    row->revision = route->revision;
+    row->removed = route->removed;
+    if (route->removed) {
+        return;
+    }
+    row->kind = route->kind;
+    row->priority = route->priority;
+    row->timeout_ms = route->timeout_ms;
+    row->goal_ms = route->goal_ms;
+    for (size_t i = 0; i < route->split_count; i++) {
+        Parsleyspur__CatalogSplit *split =
+            add_row(&row->n_splits, (void ***)&row->splits, sizeof(*split));
+
+        parsleyspur__catalog_split__init(split);
+        split->pool = route->splits[i].pool.value;
+        split->weight = route->splits[i].weight;
+    }
+}
+
+/* Fill ROUTE; false if ROW does not describe one. */
+bool
+catalog_wire_take_route(const Parsleyspur__CatalogRoute *row,
+                        struct catalog_route *route)
+{
+    memset(route, 0, sizeof(*route));
+    if (row->port > UINT16_MAX || row->kind >= CATALOG_KIND__MAX ||
+        row->n_splits > CATALOG_SPLITS_MAX) {
+        return false;
+    }
+    route->key = catalog_route_key(row->address, (uint16_t)row->port);
+    route->kind = (enum catalog_kind)row->kind;
+    route->priority = row->priority;
+    route->timeout_ms = row->timeout_ms;
+    route->goal_ms = row->goal_ms;
+    route->revision = row->revision;
+    route->removed = row->removed;
+    route->split_count = row->n_splits;
+    for (size_t i = 0; i < row->n_splits; i++) {
+        route->splits[i].pool.value = row->splits[i]->pool;
+        route->splits[i].weight = row->splits[i]->weight;
+    }
+    return true;
+}
+
+static void
+fill_target(Parsleyspur__CatalogTarget *row,
+            const struct catalog_target *target)
+{
+    parsleyspur__catalog_target__init(row);
+    row->host = target->host;
+    row->born = target->born;
+    row->sequence = target->sequence;
+    row->address = target->address;
+    row->port = target->port;
+    row->pool = target->pool.value;
+    row->zone = target->zone;
+    row->slots = target->slots;
+    row->state = target->state;
+    row->cold_ms = target->cold_ms;
+    row->missing = target->missing;
+    row->revision = target->revision;
+}
+
+static Parsleyspur__CatalogTarget *
+target_row(const struct catalog_target *target)
+{
+    Parsleyspur__CatalogTarget *row = g_malloc0(sizeof(*row));
+
+    fill_target(row, target);
+    return row;
+}
+
+void
+catalog_wire_add_target(Parsleyspur__CatalogUpdate *update,
+                        const struct catalog_target *target)
+{
+    Parsleyspur__CatalogTarget *row =
+        add_row(&update->n_targets, (void ***)&update->targets, sizeof(*row));
+
+    fill_target(row, target);
+}
+
+/* Fill TARGET; false if ROW does not describe one. */
+bool
+catalog_wire_take_target(const Parsleyspur__CatalogTarget *row,
+                         struct catalog_target *target)
+{
+    memset(target, 0, sizeof(*target));
+    if (row->port > UINT16_MAX || row->state >= CATALOG_TARGET_STATE__MAX) {
+        return false;
+    }
+    target->host = row->host;
+    target->born = row->born;
+    target->sequence = row->sequence;
+    target->address = row->address;
+    target->port = (uint16_t)row->port;
+    target->pool.value = row->pool;
+    target->zone = row->zone;
+    target->slots = row->slots;
+    target->state = (enum catalog_target_state)row->state;
+    target->cold_ms = row->cold_ms;
+    target->missing = row->missing;
+    target->revision = row->revision;
+    return true;
+}
+
+void
+catalog_wire_add_pool(Parsleyspur__CatalogUpdate *update, uint64_t id,
+                      const char *name)
+{
+    Parsleyspur__CatalogPool *row =
+        add_row(&update->n_pools, (void ***)&update->pools, sizeof(*row));
+
+    parsleyspur__catalog_pool__init(row);
+    row->id = id;
+    row->name = g_strdup(name);
+}
+
+static void
+fill_seat(Parsleyspur__CatalogSeat *row, size_t index,
+          const struct catalog_seat *seat)
+{
+    parsleyspur__catalog_seat__init(row);
+    row->seat = (uint32_t)index;
+    row->address = seat->address;
+    row->revision = seat->revision;
+}
+
+/* A row that the caller adds to a message. */
+Parsleyspur__CatalogSeat *
+catalog_wire_seat(size_t index, const struct catalog_seat *seat)
+{
+    Parsleyspur__CatalogSeat *row = g_malloc0(sizeof(*row));
+
+    fill_seat(row, index, seat);
+    return row;
+}
+
+void
+catalog_wire_add_seat(Parsleyspur__CatalogUpdate *update, size_t index,
+                      const struct catalog_seat *seat)
+{
+    Parsleyspur__CatalogSeat *row =
+        add_row(&update->n_seats, (void ***)&update->seats, sizeof(*row));
+
+    fill_seat(row, index, seat);
+}
+
+static Parsleyspur__CatalogUpdate *
+tables_message(const struct catalog_tables *tables)
+{
+    Parsleyspur__CatalogUpdate *update = g_malloc0(sizeof(*update));
+    GHashTableIter iter;
+    gpointer key, value;
+    gsize len;
+    const uint8_t *document = g_bytes_get_data(tables->document, &len);
+
+    parsleyspur__catalog_update__init(update);
+    update->version = tables->version;
+    update->idle_ms = tables->idle_ms;
+    update->document.data = g_memdup2(document, len);
+    update->document.len = len;
+    for (guint i = 0; i < tables->routes->len; i++) {
+        catalog_wire_add_route(
+            update, &g_array_index(tables->routes, struct catalog_route, i));
+    }
+    g_hash_table_iter_init(&iter, tables->pools);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        catalog_wire_add_pool(update, *(uint64_t *)key, value);
+    }
+    return update;
+}
+
+/* Append COMMAND as an entry of the log carries it. */
+void
+catalog_wire_pack(const struct catalog_command *command, GByteArray *bytes)
+{
+    Parsleyspur__CatalogCommand *message = g_malloc0(sizeof(*message));
+    struct catalog_seat seat = {0};
+
+    parsleyspur__catalog_command__init(message);
+    switch (command->kind) {
+    case CATALOG_REPLACE:
+        message->replace = tables_message(&command->u.tables);
+        break;
+    case CATALOG_ANNOUNCE:
+        message->announce = target_row(&command->u.target);
+        break;
+    case CATALOG_LEAVE:
+        message->leave = target_row(&command->u.target);
+        break;
+    case CATALOG_PRESENCE:
+        message->presence = target_row(&command->u.target);
+        break;
+    case CATALOG_SEAT:
+        seat.address = command->u.seat.address;
+        message->seat = catalog_wire_seat(command->u.seat.index, &seat);
+        break;
+    case CATALOG_COMMAND__MAX:
+        break;
+    }
+    catalog_wire_append(&message->base, bytes);
+    parsleyspur__catalog_command__free_unpacked(message, NULL);
+}
+
+static bool
+take_tables(const Parsleyspur__CatalogUpdate *update,
+            struct catalog_tables *tables)
+{
+    catalog_tables_init(tables);
+    tables->version = update->version;
+    tables->idle_ms = update->idle_ms;
+    tables->document =
+        g_bytes_new(update->document.data, update->document.len);
+    for (size_t i = 0; i < update->n_routes; i++) {
+        struct catalog_route route;
+
+        if (!catalog_wire_take_route(update->routes[i], &route)) {
+            return false;
+        }
+        g_array_append_val(tables->routes, route);
+    }
+    for (size_t i = 0; i < update->n_pools; i++) {
+        catalog_tables_pool(tables, update->pools[i]->name);
+    }
+    return true;
+}
+
+static bool
+take_target_command(const Parsleyspur__CatalogTarget *row,
+                    enum catalog_command_kind kind,
+                    struct catalog_command *command)
+{
+    command->kind = kind;
+    return catalog_wire_take_target(row, &command->u.target);
+}
+
+/*
+ * Read a command from LEN bytes.  False if they are none; otherwise the
+ * caller ends it with catalog_command_clear().
+ */
+bool
+catalog_wire_unpack(const uint8_t *data, size_t len,
+                    struct catalog_command *command)
+{
+    Parsleyspur__CatalogCommand *message =
+        parsleyspur__catalog_command__unpack(NULL, len, data);
+    bool ok = false;
+
+    memset(command, 0, sizeof(*command));
+    if (message == NULL) {
+        return false;
+    }
+    if (message->replace != NULL) {
+        command->kind = CATALOG_REPLACE;
+        ok = take_tables(message->replace, &command->u.tables);
+    }
+    else if (message->announce != NULL) {
+        ok = take_target_command(message->announce, CATALOG_ANNOUNCE, command);
+    }
+    else if (message->leave != NULL) {
+        ok = take_target_command(message->leave, CATALOG_LEAVE, command);
+    }
+    else if (message->presence != NULL) {
+        ok = take_target_command(message->presence, CATALOG_PRESENCE, command);
+    }
+    else if (message->seat != NULL) {
+        command->kind = CATALOG_SEAT;
+        command->u.seat.index = message->seat->seat;
+        command->u.seat.address = message->seat->address;
+        ok = true;
+    }
+    if (!ok) {
+        catalog_command_clear(command);
+    }
+    parsleyspur__catalog_command__free_unpacked(message, NULL);
+    return ok;
+}
--- /dev/null
+++ b/src/peer/catalog_wire.h
@@ -0,0 +1,34 @@
+/*
+ * The catalog's rows and commands between structs and bytes.  Rows made for
+ * packing are protobuf-c messages of the default allocator: whoever adds them
+ * to a message frees them with it.
+ */
+#ifndef PS_PEER_CATALOG_WIRE_H
+#define PS_PEER_CATALOG_WIRE_H
+
+#include "catalog/catalog.h"
+#include "peer/catalog.pb-c.h"
+
+void catalog_wire_pack(const struct catalog_command *, GByteArray *);
+bool catalog_wire_unpack(const uint8_t *, size_t, struct catalog_command *);
+
+void catalog_wire_append(const ProtobufCMessage *, GByteArray *);
+
+/* Rows of an update; the arrays grow by one. */
+void catalog_wire_add_route(Parsleyspur__CatalogUpdate *,
+                            const struct catalog_route *);
+void catalog_wire_add_target(Parsleyspur__CatalogUpdate *,
+                             const struct catalog_target *);
+void catalog_wire_add_pool(Parsleyspur__CatalogUpdate *, uint64_t id,
+                           const char *name);
+Parsleyspur__CatalogSeat *catalog_wire_seat(size_t index,
+                                            const struct catalog_seat *);
+void catalog_wire_add_seat(Parsleyspur__CatalogUpdate *, size_t index,
+                           const struct catalog_seat *);
+
+bool catalog_wire_take_route(const Parsleyspur__CatalogRoute *,
+                             struct catalog_route *);
+bool catalog_wire_take_target(const Parsleyspur__CatalogTarget *,
+                              struct catalog_target *);
+
+#endif
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -26,6 +26,9 @@
     PEER_HANDON_FLOW,
     PEER_HANDON_CALL,
     PEER_RELAY, /* a packet that came to a daemon which is still joining */
+    PEER_PING,  /* asks whether the connection still carries bytes */
+    PEER_PONG,  /* the answer, on the same connection */
+    PEER_FLEET, /* between the control and entry daemons of a fleet */
     PEER_CHANNEL__MAX
 };
 
--- a/src/peer/mesh_accept.c
+++ b/src/peer/mesh_accept.c
@@ -13,6 +13,7 @@
 static bool take_hello(struct mesh_accepted *, const struct frame *);
 static char *hello_fault(const struct mesh *, const Parsleyspur__Hello *);
 static void send_answer(struct mesh_accepted *, const char *fault);
+static void send_pong(struct mesh_accepted *);
 
 /* Take one connection, unless too many are open. */
 void
@@ -134,7 +135,7 @@
         accepted->greeted = true;
         accepted->sender.id = view_daemon_id(hello->name);
         accepted->sender.address = hello->address;
-        uv_timer_stop(&accepted->limit);
+        uv_timer_start(&accepted->limit, on_limit, MESH_SILENCE_MS, 0);
         mesh_set_peer(mesh, accepted->sender.id, hello->address);
     }
     else {
@@ -147,6 +148,17 @@
     return true;
 }
 
+/* Answer a ping; without pings the connection is closed before long. */
+static void
+send_pong(struct mesh_accepted *accepted)
+{
+    GByteArray *frames = g_byte_array_new();
+
+    uv_timer_start(&accepted->limit, on_limit, MESH_SILENCE_MS, 0);
+    frame_append(frames, PEER_PONG, NULL, 0);
+    mesh_write(accepted->mesh, &accepted->tcp, frames);
+}
+
 /* Handle one frame; false if the connection must be closed. */
 static bool
 take_frame(struct mesh_accepted *accepted, const struct frame *frame)
@@ -159,6 +171,10 @@
     if (frame->channel == PEER_HELLO || frame->channel == PEER_HELLO_ANSWER) {
         return false;
     }
+    if (frame->channel == PEER_PING) {
+        send_pong(accepted);
+        return true;
+    }
     if (frame->channel != PEER_HANDON_CALL) {
         counter_add(mesh->counters, COUNTER_PEER_BYTES_IN,
                     FRAME_HEADER_LEN + frame->len);
--- a/src/peer/mesh_link.c
+++ b/src/peer/mesh_link.c
@@ -13,7 +13,10 @@
 static void drop(struct mesh_link *);
 static void count(struct mesh *, enum peer_channel, size_t);
 static void send_hello(struct mesh_link *);
-static bool take_answer(struct mesh_link *);
+static bool take_answer(struct mesh_link *, const struct frame *);
+static bool take_frames(struct mesh_link *);
+static void send_ping(struct mesh_link *);
+static unsigned jittered(unsigned ms);
 
 /* A link without a connection; the first message opens it. */
 struct mesh_link *
@@ -61,7 +64,9 @@
     uv_tcp_nodelay(&link->tcp, 1);
     link->tcp.data = link;
     link->state = MESH_LINK_OPENING;
+    link->unanswered = 0;
     g_byte_array_set_size(link->input, 0);
+    uv_timer_start(&link->retry, on_retry, MESH_HELLO_MS, 0);
     mesh_sockaddr(mesh_way_to(link->mesh, link->address), &to);
     if (uv_tcp_connect(&link->connect, &link->tcp, (struct sockaddr *)&to,
                        on_connect) != 0) {
@@ -77,6 +82,7 @@
         return;
     }
     link->state = MESH_LINK_CLOSING;
+    uv_timer_stop(&link->retry);
     g_byte_array_set_size(link->queue, 0);
     uv_close((uv_handle_t *)&link->tcp, on_closed);
 }
@@ -90,20 +96,55 @@
     if (link->ended) {
         return;
     }
-    uv_timer_start(&link->retry, on_retry, link->retry_ms, 0);
+    uv_timer_start(&link->retry, on_retry, jittered(link->retry_ms), 0);
     link->retry_ms = MIN(link->retry_ms * 2, MESH_RETRY_MAX_MS);
 }
 
+/* Between three quarters and all of MS, so that peers do not retry at once. */
+static unsigned
+jittered(unsigned ms)
+{
+    return ms - (unsigned)g_random_int_range(0, (gint32)(ms / 4) + 1);
+}
+
+/* Ask whether the connection still works; give it up without an answer. */
+static void
+send_ping(struct mesh_link *link)
+{
+    GByteArray *frames;
+
+    if (link->unanswered * MESH_PING_MS >= MESH_PONG_MS) {
+        log_state(G_LOG_LEVEL_MESSAGE, "a connection to a peer is silent",
+                  "cause", "no answer to pings", NULL);
+        drop(link);
+        return;
+    }
+    link->unanswered++;
+    frames = g_byte_array_new();
+    frame_append(frames, PEER_PING, NULL, 0);
+    mesh_write(link->mesh, &link->tcp, frames);
+}
+
 static void
 on_retry(uv_timer_t *timer)
 {
     struct mesh_link *link = timer->data;
 
-    if (link->state == MESH_LINK_OPENING) {
+    switch (link->state) {
+    case MESH_LINK_OPENING:
         drop(link);
-    }
-    else if (link->queue->len > 0) {
-        dial(link);
+        break;
+    case MESH_LINK_READY:
+        send_ping(link);
+        break;
+    case MESH_LINK_IDLE:
+        if (link->queue->len > 0) {
+            dial(link);
+        }
+        break;
+    case MESH_LINK_CLOSING:
+    case MESH_LINK__MAX:
+        break;
     }
 }
 
@@ -140,33 +181,21 @@
         return;
     }
     send_hello(link);
-    uv_timer_start(&link->retry, on_retry, MESH_HELLO_MS, 0);
     uv_read_start((uv_stream_t *)&link->tcp, mesh_alloc, on_read);
 }
 
 /* Read the hello's answer; false if the connection must be dropped. */
 static bool
-take_answer(struct mesh_link *link)
+take_answer(struct mesh_link *link, const struct frame *frame)
 {
-    struct frame frame;
-    size_t used;
     Parsleyspur__HelloAnswer *answer;
     bool accepted;
 
-    switch (frame_next(link->input->data, link->input->len, &frame, &used)) {
-    case FRAME_PARTIAL:
-        return true;
-    case FRAME_BAD:
-    case FRAME__MAX:
+    if (frame->channel != PEER_HELLO_ANSWER) {
         return false;
-    case FRAME_READY:
-        break;
     }
-    if (link->state != MESH_LINK_OPENING ||
-        frame.channel != PEER_HELLO_ANSWER) {
-        return false;
-    }
-    answer = parsleyspur__hello_answer__unpack(NULL, frame.len, frame.payload);
+    answer =
+        parsleyspur__hello_answer__unpack(NULL, frame->len, frame->payload);
     if (answer == NULL) {
         return false;
     }
@@ -177,10 +206,45 @@
                   answer->reason, NULL);
     }
     parsleyspur__hello_answer__free_unpacked(answer, NULL);
-    g_byte_array_set_size(link->input, 0);
+    if (accepted) {
+        link->state = MESH_LINK_READY;
+        link->retry_ms = MESH_RETRY_MIN_MS;
+        uv_timer_start(&link->retry, on_retry, MESH_PING_MS, MESH_PING_MS);
+    }
     return accepted;
 }
 
+/* Handle whole frames of the input; false if the link must be dropped. */
+static bool
+take_frames(struct mesh_link *link)
+{
+    struct frame frame;
+    size_t used, done = 0;
+    bool ok = true;
+
+    while (ok) {
+        enum frame_result result = frame_next(
+            link->input->data + done, link->input->len - done, &frame, &used);
+
+        if (result == FRAME_PARTIAL) {
+            break;
+        }
+        ok = result == FRAME_READY;
+        if (ok && link->state == MESH_LINK_OPENING) {
+            ok = take_answer(link, &frame);
+        }
+        else if (ok) {
+            ok = frame.channel == PEER_PONG;
+            link->unanswered = 0;
+        }
+        done += ok ? used : 0;
+    }
+    if (done > 0) {
+        g_byte_array_remove_range(link->input, 0, (guint)done);
+    }
+    return ok;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buffer)
 {
@@ -192,17 +256,11 @@
                             (guint)len);
     }
     g_free(buffer->base);
-    if (len < 0 || (len > 0 && !take_answer(link))) {
+    if (len < 0 || (len > 0 && !take_frames(link))) {
         drop(link);
         return;
     }
-    if (len <= 0 || link->input->len > 0) {
-        return;
-    }
-    link->state = MESH_LINK_READY;
-    link->retry_ms = MESH_RETRY_MIN_MS;
-    uv_timer_stop(&link->retry);
-    if (link->queue->len > 0) {
+    if (link->state == MESH_LINK_READY && link->queue->len > 0) {
         waiting = link->queue;
         link->queue = g_byte_array_new();
         mesh_write(link->mesh, &link->tcp, waiting);
--- a/src/peer/mesh_private.h
+++ b/src/peer/mesh_private.h
@@ -9,6 +9,9 @@
 #define MESH_RETRY_MIN_MS  100
 #define MESH_RETRY_MAX_MS  2000
 #define MESH_HELLO_MS      3000 /* time limit of a hello and its answer */
+#define MESH_PING_MS       1000 /* between looks at an open connection */
+#define MESH_PONG_MS       2500 /* without any answer: the connection is dead */
+#define MESH_SILENCE_MS    6000 /* without a ping: a peer's one is dead */
 #define MESH_ACCEPTED_MAX  1024 /* connections of peers at once */
 #define MESH_DATAGRAM_HEAD 14   /* bytes: version, channel, cluster, id */
 
@@ -32,7 +35,8 @@
     enum mesh_link_state state;
     bool ended; /* the mesh is being closed */
     unsigned retry_ms;
-    GByteArray *queue; /* frames that wait for the hello's answer */
+    unsigned unanswered; /* pings since the last pong */
+    GByteArray *queue;   /* frames that wait for the hello's answer */
     GByteArray *input;
 };
 
--- a/src/quorum/quorum.h
+++ b/src/quorum/quorum.h
@@ -19,7 +19,9 @@
     struct daemon_id self;
     struct daemon_id voters[QUORUM_VOTERS_MAX]; /* self among them */
     size_t voter_count;                         /* 1, 3 or 5 */
-    uint64_t seed;                /* another one at every start of a daemon */
+    size_t founder_count; /* the first voters, which form a new cluster; all */
+    bool may_not_found;   /* an empty store is a lost one, never a new one */
+    uint64_t seed;        /* another one at every start of a daemon */
     uint64_t election_timeout_us; /* a voter's shortest; default 1,000,000 */
     uint64_t heartbeat_us;        /* default 100,000 */
     uint32_t clock_drift_ppm;     /* most a clock is fast or slow; 10,000 */
--- a/src/quorum/quorum_core.c
+++ b/src/quorum/quorum_core.c
@@ -58,6 +58,9 @@
     DEFAULT(append_bytes);
     DEFAULT(uncommitted_max);
 #undef DEFAULT
+    if (options->founder_count == 0) {
+        options->founder_count = options->voter_count;
+    }
 }
 
 /*
@@ -396,6 +399,51 @@
     return core->hard.voter;
 }
 
+/* The id of this voter's store. */
+uint64_t
+quorum_core_store(const struct quorum_core *core)
+{
+    return core->hard.store;
+}
+
+/*
+ * How long ago this voter last heard the leader; 0 for a leader with a
+ * lease, and a very long time if none was heard.
+ */
+uint64_t
+quorum_core_leader_lag_us(const struct quorum_core *core, uint64_t now_us)
+{
+    if (core->role == QUORUM_LEADER) {
+        return quorum_core_read_ok(core, now_us) ? 0 : UINT32_MAX;
+    }
+    if (core->heard_us == 0) {
+        return UINT32_MAX;
+    }
+    return now_us - MIN(now_us, core->heard_us);
+}
+
+/*
+ * True if VOTER, which has a vote, has acknowledged a message of this leader
+ * that was sent in the last WITHIN_US, or the leader is younger than that.
+ */
+bool
+quorum_core_voter_heard(const struct quorum_core *core, struct daemon_id voter,
+                        uint64_t within_us)
+{
+    if (voter.value == core->options.self.value ||
+        core->now_us - core->leader_since_us < within_us) {
+        return true;
+    }
+    for (size_t i = 0; i < core->peer_count; i++) {
+        const struct quorum_peer *peer = &core->peers[i];
+
+        if (peer->id.value == voter.value) {
+            return peer->voter && core->now_us - peer->acked_us < within_us;
+        }
+    }
+    return false;
+}
+
 enum quorum_role
 quorum_core_role(const struct quorum_core *core)
 {
--- a/src/quorum/quorum_core.h
+++ b/src/quorum/quorum_core.h
@@ -140,6 +140,11 @@
 bool quorum_core_read_ok(const struct quorum_core *, uint64_t now_us);
 bool quorum_core_failed(const struct quorum_core *);
 bool quorum_core_votes(const struct quorum_core *);
+uint64_t quorum_core_store(const struct quorum_core *);
+uint64_t quorum_core_leader_lag_us(const struct quorum_core *,
+                                   uint64_t now_us);
+bool quorum_core_voter_heard(const struct quorum_core *, struct daemon_id,
+                             uint64_t within_us);
 enum quorum_role quorum_core_role(const struct quorum_core *);
 struct daemon_id quorum_core_leader(const struct quorum_core *);
 uint64_t quorum_core_term(const struct quorum_core *);
--- a/src/quorum/quorum_election.c
+++ b/src/quorum/quorum_election.c
@@ -174,7 +174,7 @@
     if (core->role != asked || message->round != core->round) {
         return;
     }
-    if (message->granted && message->voter) {
+    if (message->granted && quorum_sender_votes(core, message)) {
         peer->granted = true;
         count_votes(core);
     }
--- a/src/quorum/quorum_follower.c
+++ b/src/quorum/quorum_follower.c
@@ -78,6 +78,7 @@
 
     if (message->term >= core->hard.term) {
         quorum_follow(core, message->term, message->from);
+        core->heard_us = core->now_us;
         core->refuse_until_us =
             core->now_us + core->options.election_timeout_us;
     }
--- a/src/quorum/quorum_join.c
+++ b/src/quorum/quorum_join.c
@@ -7,10 +7,23 @@
 
 #include "quorum/quorum_state.h"
 
+static bool is_founder(const struct quorum_core *, struct daemon_id);
 static bool is_pending(const struct quorum_core *, const struct quorum_peer *);
 static bool no_term(const struct quorum_core *);
 static void note_admitted(struct quorum_core *, struct daemon_id, uint64_t);
 
+/* True if ID is one of the voters that form a new cluster. */
+static bool
+is_founder(const struct quorum_core *core, struct daemon_id id)
+{
+    for (size_t i = 0; i < core->options.founder_count; i++) {
+        if (core->options.voters[i].value == id.value) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* True if this store has never known a term. */
 static bool
 no_term(const struct quorum_core *core)
@@ -24,7 +37,7 @@
 {
     struct quorum_message message;
 
-    if (core->hard.voter || !no_term(core) ||
+    if (core->hard.voter || !no_term(core) || core->options.may_not_found ||
         core->now_us < core->hello_due_us) {
         return;
     }
@@ -32,7 +45,9 @@
     message = quorum_message_of(core, QUORUM_MSG_HELLO);
     message.round = core->hard.store;
     for (size_t i = 0; i < core->peer_count; i++) {
-        quorum_send(core, core->peers[i].id, &message);
+        if (is_founder(core, core->peers[i].id)) {
+            quorum_send(core, core->peers[i].id, &message);
+        }
     }
 }
 
@@ -57,13 +72,13 @@
 quorum_on_hello_answer(struct quorum_core *core, struct quorum_peer *peer,
                        const struct quorum_message *message)
 {
-    if (core->hard.voter || !no_term(core) ||
+    if (core->hard.voter || !no_term(core) || core->options.may_not_found ||
         message->round != core->hard.store) {
         return;
     }
     peer->no_term = message->granted;
     for (size_t i = 0; i < core->peer_count; i++) {
-        if (!core->peers[i].no_term) {
+        if (!core->peers[i].no_term && is_founder(core, core->peers[i].id)) {
             return;
         }
     }
@@ -71,6 +86,41 @@
     core->hard_dirty = true;
 }
 
+/*
+ * The store that the log has last admitted for VOTER, committed or not; 0 for
+ * its first one.  Another store of this voter has no vote any more, also if
+ * it still runs: its voter was replaced while it was out of reach.
+ */
+uint64_t
+quorum_admitted_store(const struct quorum_core *core, struct daemon_id voter)
+{
+    for (uint64_t index = quorum_log_last(&core->log); index > core->commit;
+         index--) {
+        const struct quorum_entry *entry = quorum_log_at(&core->log, index);
+
+        if (entry->kind == QUORUM_ENTRY_ADMIT &&
+            entry->voter.value == voter.value) {
+            return entry->store;
+        }
+    }
+    for (size_t i = 0; i < core->options.voter_count; i++) {
+        if (core->admitted[i].voter.value == voter.value) {
+            return core->admitted[i].store;
+        }
+    }
+    return 0;
+}
+
+/* True if a message's sender, which says that it votes, may do so. */
+bool
+quorum_sender_votes(const struct quorum_core *core,
+                    const struct quorum_message *message)
+{
+    uint64_t store = quorum_admitted_store(core, message->from);
+
+    return message->voter && (store == 0 || store == message->store);
+}
+
 /* True if an entry that admits PEER's store is in the log or applied. */
 static bool
 is_pending(const struct quorum_core *core, const struct quorum_peer *peer)
--- a/src/quorum/quorum_leader.c
+++ b/src/quorum/quorum_leader.c
@@ -177,8 +177,8 @@
         peer->admit_at = 0;
         quorum_stop_sending(peer);
     }
-    peer->voter = message->voter;
-    if (message->voter && message->round <= core->now_us) {
+    peer->voter = quorum_sender_votes(core, message);
+    if (peer->voter && message->round <= core->now_us) {
         peer->acked_us = MAX(peer->acked_us, message->round);
     }
 }
--- a/src/quorum/quorum_state.h
+++ b/src/quorum/quorum_state.h
@@ -71,6 +71,7 @@
     struct quorum_peer peers[QUORUM_VOTERS_MAX - 1];
     size_t peer_count;
     uint64_t refuse_until_us; /* no vote: a leader was heard */
+    uint64_t heard_us;        /* when a leader was last heard; 0 if never */
     uint64_t election_due_us;
     uint64_t round;           /* of the vote asked for */
     uint64_t self_vote_token; /* candidate: its own vote is stored with it */
@@ -158,6 +159,9 @@
 
 /* quorum_join.c: empty stores */
 void quorum_join_tick(struct quorum_core *);
+uint64_t quorum_admitted_store(const struct quorum_core *, struct daemon_id);
+bool quorum_sender_votes(const struct quorum_core *,
+                         const struct quorum_message *);
 void quorum_on_hello(struct quorum_core *, const struct quorum_message *);
 void quorum_on_hello_answer(struct quorum_core *, struct quorum_peer *,
                             const struct quorum_message *);
