Shape packets to the link; serve from what is known after a restart of all

Cause 1: on the grown sites an entry VM's link carries 2 Mbit/s. A caller's window of 16 packets comes in at once and was sent on at once; the link's short queue dropped parts of it, and callers sent all of it again (seen in the packets of a single upload on idle links: p50 746 ms). Ruled out: the socket (no packet refused), processor time (0.003 cores of 0.12). Change: src/shape, a queue in front of the link, short packets first, copies of waiting packets left out.

Cause 2: after all processes were killed nothing was served until a leader was elected and heard (2.3 s).

Also: flows that last stay in their own zone; the leader never gives two seats to one standby (seen on the grown site: seats 4 and 5).

--- a/src/affinity/affinity_place.c
+++ b/src/affinity/affinity_place.c
@@ -1,11 +1,24 @@
 /* The choice of a target for a new flow. */
 #include "affinity/affinity_state.h"
 
-/* Penalties, in requests that wait. */
+/* Costs, in requests that wait for a slot. */
 #define COLD_COST    1.0  /* a target that started within seconds is slow */
-#define REMOTE_COST  3.0  /* bytes between zones are dear */
-#define LASTING_COST 0.15 /* of a flow that will carry further requests */
 #define SLOW_COST    2.0  /* for each time that it is slower than others */
+#define LASTING_COST 0.05 /* of a flow that will carry further requests */
+
+/* Requests that wait for a slot of the best target at hand before another
+ * zone is looked at: a link between zones may be cut, and its bytes are dear. */
+#define REMOTE_BUSY 1.0
+
+/* Which targets are looked at, and for what. */
+struct place {
+    uint64_t now_us;
+    struct pool_id pool;
+    uint64_t typical_us;
+    bool lasting;
+    bool local; /* of this daemon's zone, else of all others */
+    bool any;   /* also those that are missing or do not answer */
+};
 
 /* A candidate; the lowest cost is chosen. */
 struct choice {
@@ -16,8 +29,6 @@
 
 static struct pool_id draw_pool(struct affinity_core *,
                                 const struct catalog_route *);
-static bool is_candidate(const struct catalog_target *, struct pool_id,
-                         bool last_resort);
 static double cost_of(struct affinity_core *, uint64_t now_us,
                       const struct catalog_target *, uint64_t typical_us,
                       bool lasting);
@@ -25,6 +36,10 @@
                                struct pool_id);
 static void consider(struct affinity_core *, struct choice *,
                      const struct catalog_target *, double cost);
+static struct choice best_of(struct affinity_core *, const struct catalog *,
+                             const struct place *, uint32_t *candidates);
+static double waiting_at(struct affinity_core *,
+                         const struct catalog_target *);
 
 /* One of the route's pools, by weight. */
 static struct pool_id
@@ -49,19 +64,6 @@
     return none;
 }
 
-/*
- * Whether new flows may go to TARGET.  One whose announcements are missing is
- * the LAST_RESORT: it may be that only the announcements do not come through.
- */
-static bool
-is_candidate(const struct catalog_target *target, struct pool_id pool,
-             bool last_resort)
-{
-    return target->pool.value == pool.value &&
-           target->state == CATALOG_READY && !target->cookie_clashes &&
-           target->missing == last_resort;
-}
-
 /* Mean of the pool's moving averages from request to answer; 0 for none. */
 static uint64_t
 typical_answer(struct affinity_core *core, const struct catalog *catalog,
@@ -90,7 +92,8 @@
 /*
  * What a new flow on TARGET would cost its caller, in requests that wait:
  * those in progress, those to come from flows that last, and how much slower
- * than the TYPICAL_US of its pool the target has lately been.
+ * than the TYPICAL_US of its pool the target has lately been.  Flows that
+ * last are dealt evenly, whatever happens to be in progress.
  */
 static double
 cost_of(struct affinity_core *core, uint64_t now_us,
@@ -98,16 +101,13 @@
 {
     const struct affinity_load *load = affinity_load_of(core, target->host);
     double slots = MAX(target->slots, 1);
-    double cost = load->busy / slots;
-    double flows = load->lasting / slots;
+    double cost = lasting
+                      ? (load->lasting + LASTING_COST * load->busy) / slots
+                      : (load->busy + LASTING_COST * load->lasting) / slots;
 
-    cost += lasting ? flows : flows * LASTING_COST;
     if (now_us < load->cold_until_us) {
         cost += COLD_COST;
     }
-    if (target->zone != core->options.zone) {
-        cost += REMOTE_COST;
-    }
     if (typical_us > 0 && load->answer_us > 2 * typical_us) {
         cost += SLOW_COST * (double)load->answer_us / (double)typical_us;
     }
@@ -133,36 +133,87 @@
     }
 }
 
-/* The target for a new flow of ROUTE, or NULL; CANDIDATES are counted. */
+/* The best of the targets that PLACE describes; candidates are counted. */
+static struct choice
+best_of(struct affinity_core *core, const struct catalog *catalog,
+        const struct place *place, uint32_t *candidates)
+{
+    const GPtrArray *targets = catalog_targets(catalog);
+    struct choice best = {0};
+
+    for (guint i = 0; i < targets->len; i++) {
+        const struct catalog_target *target = targets->pdata[i];
+        const struct affinity_load *load;
+
+        if (target->pool.value != place->pool.value ||
+            target->state != CATALOG_READY || target->cookie_clashes) {
+            continue;
+        }
+        load = affinity_load_of(core, target->host);
+        if (!place->any &&
+            (target->missing || affinity_load_suspect(load, place->now_us))) {
+            continue;
+        }
+        if ((target->zone == core->options.zone) != place->local) {
+            continue;
+        }
+        (*candidates)++;
+        consider(core, &best, target,
+                 cost_of(core, place->now_us, target, place->typical_us,
+                         place->lasting));
+    }
+    return best;
+}
+
+/* Requests that wait for each slot of TARGET, as far as this daemon sees. */
+static double
+waiting_at(struct affinity_core *core, const struct catalog_target *target)
+{
+    return affinity_load_of(core, target->host)->busy /
+           (double)MAX(target->slots, 1);
+}
+
+/*
+ * The target for a new flow of ROUTE, or NULL; CANDIDATES are counted.  Own
+ * zone first, then others if the own one has none or only busy ones; targets
+ * that are missing or do not answer only if there are no others.
+ */
 const struct catalog_target *
 affinity_place(struct affinity_core *core, uint64_t now_us,
                const struct catalog *catalog,
                const struct catalog_route *route, uint32_t *candidates)
 {
-    const GPtrArray *targets = catalog_targets(catalog);
-    struct pool_id pool = draw_pool(core, route);
-    uint64_t typical_us = typical_answer(core, catalog, pool);
-    bool lasting = affinity_flow_lasts(core, route->key);
-    struct choice answering = {0}, any = {0};
+    struct place place = {
+        .now_us = now_us,
+        .pool = draw_pool(core, route),
+        .lasting = affinity_flow_lasts(core, route->key),
+        .local = true,
+    };
+    struct choice local, remote;
 
     *candidates = 0;
-    for (int last_resort = 0; last_resort <= 1 && any.target == NULL;
-         last_resort++) {
-        for (guint i = 0; i < targets->len; i++) {
-            const struct catalog_target *target = targets->pdata[i];
-            double cost;
-
-            if (!is_candidate(target, pool, last_resort == 1)) {
-                continue;
-            }
-            (*candidates)++;
-            cost = cost_of(core, now_us, target, typical_us, lasting);
-            consider(core, &any, target, cost);
-            if (!affinity_load_suspect(affinity_load_of(core, target->host),
-                                       now_us)) {
-                consider(core, &answering, target, cost);
-            }
+    place.typical_us = typical_answer(core, catalog, place.pool);
+    for (int any = 0; any <= 1; any++) {
+        place.any = any == 1;
+        place.local = true;
+        local = best_of(core, catalog, &place, candidates);
+        if (local.target != NULL &&
+            waiting_at(core, local.target) < REMOTE_BUSY) {
+            return local.target;
+        }
+        place.local = false;
+        remote = best_of(core, catalog, &place, candidates);
+        if (local.target == NULL && remote.target != NULL) {
+            return remote.target;
+        }
+        if (remote.target != NULL &&
+            waiting_at(core, remote.target) + REMOTE_BUSY <
+                waiting_at(core, local.target)) {
+            return remote.target;
+        }
+        if (local.target != NULL) {
+            return local.target;
         }
     }
-    return answering.target != NULL ? answering.target : any.target;
+    return NULL;
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -39,6 +39,13 @@
     return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
 
+/* How long ago SINCE_US was; 0 if the clock was read after NOW_US for it. */
+uint64_t
+fleet_elapsed_us(uint64_t now_us, uint64_t since_us)
+{
+    return now_us - MIN(now_us, since_us);
+}
+
 /* Drop what CALL owns. */
 void
 fleet_call_clear(struct fleet_call *call)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -12,8 +12,9 @@
 #include "catalog/catalog.h"
 #include "edge/http.h"
 
-#define FLEET_SEEDS_MAX  3
-#define FLEET_PACKET_MAX 2048 /* bytes of a datagram with its envelope */
+#define FLEET_SEEDS_MAX    3
+#define FLEET_PACKET_MAX   2048 /* bytes of a datagram with its envelope */
+#define FLEET_ENVELOPE_MAX 64   /* bytes that an edge may add to a packet */
 
 enum fleet_role {
     FLEET_ENTRY,
@@ -76,6 +77,7 @@
     uint32_t announce_ms; /* between announcements of a target */
     uint32_t grace_ms;    /* between a planned stop's signal and the end */
     size_t body_max;      /* bytes of a call */
+    uint64_t link_bytes_per_s; /* entry: of the VM's link; 0 if unknown */
     struct fleet_edge edge;
     void (*decode_call)(const struct http_request *, struct fleet_call *);
     /* Where control daemons are now; false if that cannot be read. */
--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -28,6 +28,7 @@
 static void answer_confirm(struct fleet *, const struct fleet_peer *,
                            const Parsleyspur__FleetConfirm *);
 static void look_after_seats(struct fleet *, uint64_t now_us);
+static bool holds_seat(const struct fleet *, const struct fleet_peer *);
 static size_t list_standbys(struct fleet *, struct fleet_standby *,
                             uint64_t now_us);
 static uint64_t lag_us(const struct fleet *, uint64_t now_us);
@@ -239,7 +240,8 @@
     }
     address = fleet_control_leader(fleet);
     leader = g_hash_table_lookup(fleet->peers, GUINT_TO_POINTER(address));
-    return leader == NULL ? UINT32_MAX : now_us - leader->heard_us;
+    return leader == NULL ? UINT32_MAX
+                          : fleet_elapsed_us(now_us, leader->heard_us);
 }
 
 /* Whether what is told to this daemon becomes known to the leader. */
@@ -429,6 +431,18 @@
     own_seat_changed(fleet);
 }
 
+/* True if PEER has been given a seat, whether it knows that or not. */
+static bool
+holds_seat(const struct fleet *fleet, const struct fleet_peer *peer)
+{
+    for (size_t i = 0; i < fleet->control->seat_count; i++) {
+        if (fleet->control->seats[i].address == peer->address) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static size_t
 list_standbys(struct fleet *fleet, struct fleet_standby *standbys,
               uint64_t now_us)
@@ -442,7 +456,7 @@
            count < STANDBYS_MAX) {
         const struct fleet_peer *peer = value;
 
-        if (peer->control && peer->empty &&
+        if (peer->control && peer->empty && !holds_seat(fleet, peer) &&
             fleet_peer_is_fresh(peer, now_us)) {
             standbys[count].address = peer->address;
             standbys[count].zone = peer->zone;
@@ -479,7 +493,7 @@
             quorum_core_voter_heard(control->quorum, (struct daemon_id){i + 1},
                                     SEAT_LOST_US);
     }
-    if (now_us - control->seat_change_us < SEAT_SETTLE_US &&
+    if (fleet_elapsed_us(now_us, control->seat_change_us) < SEAT_SETTLE_US &&
         !seats[control->seat_changed].heard) {
         return;
     }
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -9,12 +9,17 @@
 
 #define GREET_US      1000000U /* between greetings of control daemons */
 #define CURRENT_US    1500000U /* a control daemon's lag that is no lag */
+#define SEARCH_US     100000U  /* between greetings until there is a catalog */
+#define STALE_WAIT_US 300000U  /* for a current control daemon, at the start */
 #define FORWARD_MS    2500U    /* packets still come after a planned stop */
 #define STOP_SPARE_MS 1500U    /* kept of the time before a stop is enforced */
 
 static void on_call(void *, const struct http_request *);
 static bool is_ready(const struct fleet *);
 static bool is_current(const struct fleet_peer *, uint64_t now_us);
+static bool any_current(const struct fleet *, uint64_t now_us);
+static void consider_ready(struct fleet *, uint64_t now_us);
+static uint64_t greet_interval_us(const struct fleet_entry *);
 static gint by_preference(gconstpointer, gconstpointer, gpointer);
 static void choose_feeds(struct fleet *, uint64_t now_us);
 static void greet(struct fleet *, uint32_t address, uint32_t rank);
@@ -103,7 +108,25 @@
            peer->lag_us < CURRENT_US;
 }
 
-/* Current ones first, then those of the own zone, then by a hash of both. */
+static bool
+any_current(const struct fleet *fleet, uint64_t now_us)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        if (is_current(value, now_us)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Current ones first, else the furthest; then those of the own zone, then by
+ * a hash of both.
+ */
 static gint
 by_preference(gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -118,6 +141,9 @@
     if (x_current != y_current) {
         return x_current ? -1 : 1;
     }
+    if (!x_current && x->revision != y->revision) {
+        return x->revision > y->revision ? -1 : 1;
+    }
     if (x_near != y_near) {
         return x_near ? -1 : 1;
     }
@@ -130,6 +156,7 @@
 {
     struct fleet_entry *entry = fleet->entry;
     GPtrArray *controls = g_ptr_array_new();
+    bool stale = !any_current(fleet, now_us);
     GHashTableIter iter;
     gpointer key, value;
 
@@ -144,7 +171,10 @@
     for (guint i = 0; i < controls->len; i++) {
         const struct fleet_peer *peer = controls->pdata[i];
 
-        if (entry->feed_count < FLEET_FEEDS_MAX && is_current(peer, now_us)) {
+        if (entry->feed_count < FLEET_FEEDS_MAX &&
+            (is_current(peer, now_us) ||
+             (stale && peer->seat != 0 &&
+              fleet_peer_is_fresh(peer, now_us)))) {
             entry->feeds[entry->feed_count++] = peer->address;
         }
         else if (entry->feed_count < FLEET_FEEDS_MAX ||
@@ -185,7 +215,8 @@
 {
     struct fleet_entry *entry = fleet->entry;
     bool connected =
-        now_us - entry->current_us < FLEET_FRESH_US && entry->current_us != 0;
+        fleet_elapsed_us(now_us, entry->current_us) < FLEET_FRESH_US &&
+        entry->current_us != 0;
 
     if (connected != entry->connected) {
         entry->connected = connected;
@@ -198,6 +229,55 @@
     }
 }
 
+/*
+ * Take flows once there is a catalog, and as soon as it is that of a current
+ * control daemon.  Where none is current, as when the whole fleet has been
+ * restarted, what the furthest one knows as committed is better for callers
+ * than no answer.
+ */
+static void
+consider_ready(struct fleet *fleet, uint64_t now_us)
+{
+    struct fleet_entry *entry = fleet->entry;
+    bool current = false, behind = false;
+    GHashTableIter iter;
+    gpointer key, value;
+
+    if (entry->synced || catalog_version(fleet->catalog) == 0) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct fleet_peer *peer = value;
+
+        if (is_current(peer, now_us)) {
+            current = true;
+            behind =
+                behind || peer->revision > catalog_revision(fleet->catalog);
+        }
+    }
+    if (behind || (!current && fleet_elapsed_us(now_us, entry->found_us) <
+                                   STALE_WAIT_US)) {
+        return;
+    }
+    entry->synced = true;
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, now_us, "ready",
+                   "\"revision\":%" G_GUINT64_FORMAT
+                   ",\"version\":%" G_GUINT64_FORMAT ",\"current\":%s",
+                   catalog_revision(fleet->catalog),
+                   catalog_version(fleet->catalog),
+                   current ? "true" : "false");
+}
+
+static uint64_t
+greet_interval_us(const struct fleet_entry *entry)
+{
+    if (!entry->synced) {
+        return SEARCH_US;
+    }
+    return entry->feed_count == 0 ? FLEET_GREET_FAST_US : GREET_US;
+}
+
 void
 fleet_entry_tick(struct fleet *fleet, uint64_t now_us)
 {
@@ -205,10 +285,9 @@
 
     if (now_us >= entry->greet_us) {
         greet_feeds(fleet, now_us);
-        entry->greet_us = now_us + (entry->feed_count == 0 || !entry->synced
-                                        ? FLEET_GREET_FAST_US
-                                        : GREET_US);
+        entry->greet_us = now_us + greet_interval_us(entry);
     }
+    consider_ready(fleet, now_us);
     log_connection(fleet, now_us);
     affinity_core_tick(entry->affinity, now_us, fleet->catalog);
 }
@@ -252,6 +331,9 @@
 
     if (message->greeting != NULL) {
         fleet_peer_heard(fleet, peer, message->greeting);
+        if (entry->found_us == 0) {
+            entry->found_us = now_us;
+        }
         if (is_current(peer, now_us)) {
             entry->current_us = now_us;
         }
@@ -259,14 +341,7 @@
     if (message->update.len > 0) {
         take_update(fleet, peer, &message->update);
     }
-    if (!entry->synced && is_current(peer, now_us) &&
-        catalog_version(fleet->catalog) > 0 &&
-        catalog_revision(fleet->catalog) >= peer->revision) {
-        entry->synced = true;
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, now_us, "ready",
-                       "\"revision\":%" G_GUINT64_FORMAT,
-                       catalog_revision(fleet->catalog));
-    }
+    consider_ready(fleet, now_us);
 }
 
 /* Packets go on for as long as the fabric may send some. */
--- a/src/fleet/fleet_entry_private.h
+++ b/src/fleet/fleet_entry_private.h
@@ -4,10 +4,12 @@
 
 #include "daemon/packet_batch.h"
 #include "fleet/fleet_private.h"
+#include "shape/shape.h"
 
 struct fleet_entry {
     struct affinity_core *affinity;
-    bool synced;         /* has held a current catalog once */
+    bool synced;         /* has a catalog to place flows by */
+    uint64_t found_us;   /* when a control daemon was first heard; 0: never */
     uint64_t current_us; /* when a current control daemon was last heard */
     uint64_t greet_us;
     uint32_t feeds[FLEET_FEEDS_MAX]; /* addresses, the first feeds at once */
@@ -19,6 +21,9 @@
     uint8_t *input; /* of one recvmmsg */
     struct packet_batch batch;
     uint8_t output[PACKET_BATCH_MAX][FLEET_PACKET_MAX];
+    uint8_t encoded[FLEET_PACKET_MAX];
+    struct shape *shape; /* packets that wait for the link */
+    uv_timer_t drain;    /* runs while packets wait */
     uint64_t packets_in;
     uint64_t packets_out;
     uint64_t malformed;
--- a/src/fleet/fleet_feed.c
+++ b/src/fleet/fleet_feed.c
@@ -21,8 +21,9 @@
     uint64_t delay_us = (uint64_t)peer->rank * RANK_DELAY_US;
     uint64_t pace_us = peer->behind_us < peer->sent_us ? AGAIN_US : PACE_US;
 
-    return peer->revision < changed && now_us - peer->behind_us >= delay_us &&
-           now_us - peer->sent_us >= pace_us;
+    return peer->revision < changed &&
+           fleet_elapsed_us(now_us, peer->behind_us) >= delay_us &&
+           fleet_elapsed_us(now_us, peer->sent_us) >= pace_us;
 }
 
 static void
--- a/src/fleet/fleet_log.c
+++ b/src/fleet/fleet_log.c
@@ -63,7 +63,7 @@
 may_write(struct fleet_log *log, enum fleet_log_weight weight, uint64_t now_us)
 {
     double rate = (double)log->options.lines_per_s;
-    double passed_s = (double)(now_us - log->filled_us) / 1e6;
+    double passed_s = (double)(now_us - MIN(now_us, log->filled_us)) / 1e6;
 
     if (log->buffer->len + LINE_MAX_BYTES > log->options.buffer_bytes) {
         return false;
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -3,19 +3,22 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "base/hash.h"
 #include "fleet/fleet_entry_private.h"
 
 #define READ_MAX      65536 /* bytes that libuv gives a datagram */
 #define READ_BATCH    PACKET_BATCH_MAX
 #define SOCKET_BUFFER 1048576 /* bytes asked for; the kernel may cut */
+#define LINK_SHARE    0.95    /* for packets; the rest is control traffic's */
 
 static void alloc_input(uv_handle_t *, size_t, uv_buf_t *);
 static void on_packet(uv_udp_t *, ssize_t, const uv_buf_t *,
                       const struct sockaddr *, unsigned);
 static void pass(struct fleet *, const uint8_t *, size_t);
-static void send_to(struct fleet_entry *, uint32_t address, uint16_t port,
-                    uint8_t *, size_t);
 static void flush(struct fleet_entry *);
+static void drain(struct fleet *);
+static void on_drain(uv_timer_t *);
+static uint64_t copy_key(const struct affinity_packet *);
 static void tell(struct fleet *, uint64_t now_us,
                  const struct affinity_packet *,
                  const struct affinity_verdict *);
@@ -40,9 +43,16 @@
         .sin_port = htons(listen.port),
         .sin_addr.s_addr = htonl(listen.address),
     };
+    struct shape_options shape = {
+        .bytes_per_s =
+            (uint64_t)((double)fleet->options->link_bytes_per_s * LINK_SHARE),
+    };
     int size = SOCKET_BUFFER;
     int failed;
 
+    entry->shape = shape_new(&shape);
+    uv_timer_init(&fleet->loop, &entry->drain);
+    entry->drain.data = fleet;
     packet_batch_init(&entry->batch);
     entry->input = g_malloc((size_t)READ_MAX * READ_BATCH);
     uv_udp_init_ex(&fleet->loop, &entry->udp, AF_INET | UV_UDP_RECVMMSG);
@@ -68,12 +78,14 @@
 {
     if (!uv_is_closing((uv_handle_t *)&fleet->entry->udp)) {
         uv_close((uv_handle_t *)&fleet->entry->udp, NULL);
+        uv_close((uv_handle_t *)&fleet->entry->drain, NULL);
     }
 }
 
 void
 fleet_packet_free(struct fleet *fleet)
 {
+    shape_free(fleet->entry->shape);
     g_free(fleet->entry->input);
 }
 
@@ -88,7 +100,7 @@
         pass(fleet, (const uint8_t *)buffer->base, (size_t)len);
     }
     if ((flags & UV_UDP_MMSG_CHUNK) == 0) {
-        flush(fleet->entry);
+        drain(fleet);
     }
 }
 
@@ -100,18 +112,42 @@
     }
 }
 
+/* Send what may leave now; the rest waits for the timer. */
 static void
-send_to(struct fleet_entry *entry, uint32_t address, uint16_t port,
-        uint8_t *data, size_t len)
+drain(struct fleet *fleet)
 {
-    struct sockaddr_in to = {
-        .sin_family = AF_INET,
-        .sin_port = htons(port),
-        .sin_addr.s_addr = htonl(address),
-    };
+    struct fleet_entry *entry = fleet->entry;
+    uint64_t now_us = fleet_now_us();
+    const struct shape_packet *packet;
+    uint64_t wait_us;
+
+    while ((packet = shape_take(entry->shape, now_us)) != NULL) {
+        uint8_t *out = entry->output[entry->batch.count];
+        struct sockaddr_in to = {
+            .sin_family = AF_INET,
+            .sin_port = htons(packet->port),
+            .sin_addr.s_addr = htonl(packet->address),
+        };
+
+        memcpy(out, packet->data, packet->len);
+        entry->packets_out++;
+        packet_batch_add(&entry->batch, entry->fd, &to, out, packet->len);
+        if (entry->batch.count == PACKET_BATCH_MAX) {
+            flush(entry);
+        }
+    }
+    flush(entry);
+    wait_us = shape_wait_us(entry->shape, now_us);
+    if (wait_us > 0 && !uv_is_active((uv_handle_t *)&entry->drain) &&
+        !uv_is_closing((uv_handle_t *)&entry->drain)) {
+        uv_timer_start(&entry->drain, on_drain, (wait_us + 999) / 1000, 0);
+    }
+}
 
-    entry->packets_out++;
-    entry->lost += packet_batch_add(&entry->batch, entry->fd, &to, data, len);
+static void
+on_drain(uv_timer_t *timer)
+{
+    drain(timer->data);
 }
 
 /* A line for a decision on an opening, a reset, or a packet that is lost. */
@@ -142,7 +178,21 @@
         verdict->target == NULL ? 0 : verdict->target->host, verdict->busy,
         verdict->candidates, catalog_version(fleet->catalog),
         catalog_revision(fleet->catalog),
-        (now_us - MIN(now_us, fleet->entry->current_us)) / 1000);
+        fleet_elapsed_us(now_us, fleet->entry->current_us) / 1000);
+}
+
+/* Equal for copies of one packet. */
+static uint64_t
+copy_key(const struct affinity_packet *packet)
+{
+    uint64_t flow = hash_pair(
+        (uint64_t)packet->source << 16 | packet->source_port,
+        (uint64_t)packet->destination << 16 | packet->destination_port);
+    uint64_t part =
+        hash_pair((uint64_t)packet->sequence << 32 | packet->acknowledged,
+                  packet->flags);
+
+    return hash_pair(flow, part);
 }
 
 /* Decide on one packet and carry the decision out. */
@@ -153,11 +203,11 @@
     const struct fleet_edge *edge = &fleet->options->edge;
     struct affinity_packet packet;
     struct affinity_verdict verdict;
+    struct shape_packet out = {.data = entry->encoded};
     uint64_t now_us = fleet_now_us();
-    uint8_t *out;
 
     entry->packets_in++;
-    if (len > FLEET_PACKET_MAX / 2 + FLEET_PACKET_MAX / 4 ||
+    if (len > FLEET_PACKET_MAX - FLEET_ENVELOPE_MAX ||
         !edge->decode(data, len, &packet)) {
         entry->malformed++;
         return;
@@ -167,20 +217,20 @@
     if (verdict.reason != AFFINITY_COOKIE) {
         tell(fleet, now_us, &packet, &verdict);
     }
-    if (entry->batch.count == PACKET_BATCH_MAX) {
-        flush(entry);
-    }
-    out = entry->output[entry->batch.count];
+    out.key = copy_key(&packet);
     switch (verdict.action) {
     case AFFINITY_FORWARD:
-        len = edge->encode(data, len, verdict.target, out);
-        send_to(entry, verdict.target->address, verdict.target->port, out,
-                len);
+        out.address = verdict.target->address;
+        out.port = verdict.target->port;
+        out.len = edge->encode(data, len, verdict.target, entry->encoded);
+        shape_put(entry->shape, now_us, &out);
         break;
     case AFFINITY_RESET:
         entry->resets++;
-        len = edge->encode_reset(&packet, out);
-        send_to(entry, packet.source, fleet->options->caller_port, out, len);
+        out.address = packet.source;
+        out.port = fleet->options->caller_port;
+        out.len = edge->encode_reset(&packet, entry->encoded);
+        shape_put(entry->shape, now_us, &out);
         break;
     case AFFINITY_DROP:
     case AFFINITY_ACTION__MAX:
--- a/src/fleet/fleet_peer.c
+++ b/src/fleet/fleet_peer.c
@@ -45,7 +45,8 @@
 bool
 fleet_peer_is_fresh(const struct fleet_peer *peer, uint64_t now_us)
 {
-    return peer->heard_us != 0 && now_us - peer->heard_us < FLEET_FRESH_US;
+    return peer->heard_us != 0 &&
+           fleet_elapsed_us(now_us, peer->heard_us) < FLEET_FRESH_US;
 }
 
 /* Note what PEER says of itself, and the control daemons that it names. */
@@ -93,7 +94,8 @@
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const struct fleet_peer *peer = value;
 
-        if (peer->heard_us != 0 && now_us - peer->heard_us > PEER_KEPT_US) {
+        if (peer->heard_us != 0 &&
+            fleet_elapsed_us(now_us, peer->heard_us) > PEER_KEPT_US) {
             g_hash_table_iter_remove(&iter);
         }
     }
--- a/src/fleet/fleet_presence.c
+++ b/src/fleet/fleet_presence.c
@@ -121,7 +121,7 @@
         if (when == NULL) {
             note(fleet, target->host, now_us);
         }
-        else if (now_us - *when > limit_us) {
+        else if (fleet_elapsed_us(now_us, *when) > limit_us) {
             g_array_append_val(missing, *target);
         }
     }
--- a/src/fleet/fleet_private.h
+++ b/src/fleet/fleet_private.h
@@ -65,6 +65,7 @@
 
 /* fleet.c */
 uint64_t fleet_now_us(void);
+uint64_t fleet_elapsed_us(uint64_t now_us, uint64_t since_us);
 void fleet_end(struct fleet *);
 
 /* fleet_peer.c: daemons known, and messages to them */
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -6,8 +6,10 @@
 #include "fleet/fleet_control_private.h"
 #include "peer/quorum_wire.h"
 
-#define LOOK_EVERY_US    1000000U /* between looks at space and failures */
-#define SNAPSHOT_ENTRIES 64       /* tables are a large part of a small disk */
+#define LOOK_EVERY_US 1000000U /* between looks at space and failures */
+/* Five heartbeats: callers of a restarted fleet wait for its first leader. */
+#define ELECTION_US      500000U
+#define SNAPSHOT_ENTRIES 64 /* tables are a large part of a small disk */
 #define TRAILING_ENTRIES 64
 
 static void step(struct fleet *, const struct quorum_event *);
@@ -67,6 +69,7 @@
         .voter_count = control->seat_count,
         .may_not_found = !may_found,
         .seed = hash_pair(fleet->options->address, fleet_now_us()),
+        .election_timeout_us = ELECTION_US,
         .heartbeat_us = FLEET_HEARTBEAT_US,
         .snapshot_entries = SNAPSHOT_ENTRIES,
         .trailing_entries = TRAILING_ENTRIES,
@@ -75,6 +78,7 @@
     struct storage_report report;
     struct quorum_stored stored;
     char *folder = fleet_seat_log_folder(fleet);
+    uint64_t begun_us = fleet_now_us();
 
     for (size_t i = 0; i < control->seat_count; i++) {
         options.voters[i].value = i + 1;
@@ -92,11 +96,13 @@
     fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "log-open",
                    "\"seat\":%zu,\"empty\":%s,\"records\":%" G_GUINT64_FORMAT
                    ",\"torn_bytes\":%" G_GUINT64_FORMAT
-                   ",\"votes\":%s,\"term\":%" G_GUINT64_FORMAT,
+                   ",\"votes\":%s,\"term\":%" G_GUINT64_FORMAT
+                   ",\"took_ms\":%" G_GUINT64_FORMAT,
                    control->seat, report.was_empty ? "true" : "false",
                    report.records, report.torn_bytes,
                    quorum_core_votes(control->quorum) ? "true" : "false",
-                   quorum_core_term(control->quorum));
+                   quorum_core_term(control->quorum),
+                   (fleet_now_us() - begun_us) / 1000);
     quorum_stored_clear(&stored);
     return true;
 }
--- a/src/peer/mesh_link.c
+++ b/src/peer/mesh_link.c
@@ -16,6 +16,7 @@
 static bool take_answer(struct mesh_link *, const struct frame *);
 static bool take_frames(struct mesh_link *);
 static void send_ping(struct mesh_link *);
+static unsigned longer(unsigned ms, unsigned max_ms);
 static unsigned jittered(unsigned ms);
 
 /* A link without a connection; the first message opens it. */
@@ -27,6 +28,7 @@
     link->mesh = mesh;
     link->id = id;
     link->retry_ms = MESH_RETRY_MIN_MS;
+    link->open_ms = MESH_OPEN_MIN_MS;
     link->queue = g_byte_array_new();
     link->input = g_byte_array_new();
     uv_timer_init(mesh->loop, &link->retry);
@@ -66,7 +68,8 @@
     link->state = MESH_LINK_OPENING;
     link->unanswered = 0;
     g_byte_array_set_size(link->input, 0);
-    uv_timer_start(&link->retry, on_retry, MESH_HELLO_MS, 0);
+    uv_timer_start(&link->retry, on_retry, link->open_ms, 0);
+    link->open_ms = longer(link->open_ms, MESH_OPEN_MAX_MS);
     mesh_sockaddr(mesh_way_to(link->mesh, link->address), &to);
     if (uv_tcp_connect(&link->connect, &link->tcp, (struct sockaddr *)&to,
                        on_connect) != 0) {
@@ -97,7 +100,14 @@
         return;
     }
     uv_timer_start(&link->retry, on_retry, jittered(link->retry_ms), 0);
-    link->retry_ms = MIN(link->retry_ms * 2, MESH_RETRY_MAX_MS);
+    link->retry_ms = longer(link->retry_ms, MESH_RETRY_MAX_MS);
+}
+
+/* The wait after one of MS was in vain, at most MAX_MS. */
+static unsigned
+longer(unsigned ms, unsigned max_ms)
+{
+    return MIN((unsigned)(ms * MESH_BACKOFF) + 1, max_ms);
 }
 
 /* Between three quarters and all of MS, so that peers do not retry at once. */
@@ -209,6 +219,7 @@
     if (accepted) {
         link->state = MESH_LINK_READY;
         link->retry_ms = MESH_RETRY_MIN_MS;
+        link->open_ms = MESH_OPEN_MIN_MS;
         uv_timer_start(&link->retry, on_retry, MESH_PING_MS, MESH_PING_MS);
     }
     return accepted;
--- a/src/peer/mesh_private.h
+++ b/src/peer/mesh_private.h
@@ -4,11 +4,16 @@
 
 #include "peer/mesh.h"
 
-#define MESH_VERSION       1
-#define MESH_QUEUE_MAX     (8U << 20) /* bytes waiting for one peer */
-#define MESH_RETRY_MIN_MS  100
-#define MESH_RETRY_MAX_MS  2000
-#define MESH_HELLO_MS      3000 /* time limit of a hello and its answer */
+#define MESH_VERSION      1
+#define MESH_QUEUE_MAX    (8U << 20) /* bytes waiting for one peer */
+#define MESH_RETRY_MIN_MS 50
+#define MESH_RETRY_MAX_MS 1000
+/* Until a connection is open and greeted: short at first, since a peer that
+ * was restarted does not answer what was sent before. */
+#define MESH_OPEN_MIN_MS   100
+#define MESH_OPEN_MAX_MS   1200
+#define MESH_BACKOFF       1.3  /* growth of both waits after a failure */
+#define MESH_HELLO_MS      3000 /* a peer's connection without a hello */
 #define MESH_PING_MS       1000 /* between looks at an open connection */
 #define MESH_PONG_MS       2500 /* without any answer: the connection is dead */
 #define MESH_SILENCE_MS    6000 /* without a ping: a peer's one is dead */
@@ -35,6 +40,7 @@
     enum mesh_link_state state;
     bool ended; /* the mesh is being closed */
     unsigned retry_ms;
+    unsigned open_ms;    /* time limit of the next attempt */
     unsigned unanswered; /* pings since the last pong */
     GByteArray *queue;   /* frames that wait for the hello's answer */
     GByteArray *input;
--- a/src/peer/quorum.pb-c.c
+++ b/src/peer/quorum.pb-c.c
@@ -741,7 +741,7 @@
   (ProtobufCMessageInit) parsleyspur__quorum_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__quorum_hard__field_descriptors[4] =
+static const ProtobufCFieldDescriptor parsleyspur__quorum_hard__field_descriptors[5] =
 {
   {
     "term",
@@ -791,8 +791,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "commit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__QuorumHard, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__quorum_hard__field_indices_by_name[] = {
+  4,   /* field[4] = commit */
   2,   /* field[2] = store */
   0,   /* field[0] = term */
   1,   /* field[1] = vote */
@@ -801,7 +814,7 @@
 static const ProtobufCIntRange parsleyspur__quorum_hard__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor parsleyspur__quorum_hard__descriptor =
 {
@@ -811,7 +824,7 @@
   "Parsleyspur__QuorumHard",
   "parsleyspur",
   sizeof(Parsleyspur__QuorumHard),
-  4,
+  5,
   parsleyspur__quorum_hard__field_descriptors,
   parsleyspur__quorum_hard__field_indices_by_name,
   1,  parsleyspur__quorum_hard__number_ranges,
--- a/src/peer/quorum.pb-c.h
+++ b/src/peer/quorum.pb-c.h
@@ -113,10 +113,11 @@
   uint64_t vote;
   uint64_t store;
   protobuf_c_boolean voter;
+  uint64_t commit;
 };
 #define PARSLEYSPUR__QUORUM_HARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__quorum_hard__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/peer/quorum_wire.c
+++ b/src/peer/quorum_wire.c
@@ -238,6 +238,7 @@
         hard.vote = record->u.hard.vote.value;
         hard.store = record->u.hard.store;
         hard.voter = record->u.hard.voter;
+        hard.commit = record->u.hard.commit;
         pb.hard = &hard;
         break;
     case QUORUM_RECORD_ENTRY:
@@ -268,6 +269,7 @@
     hard->vote.value = pb->vote;
     hard->store = pb->store;
     hard->voter = pb->voter;
+    hard->commit = pb->commit;
 }
 
 /* A snapshot with empty data but the checksum of the true one, or NULL. */
--- a/src/quorum/quorum.h
+++ b/src/quorum/quorum.h
@@ -72,6 +72,8 @@
     struct daemon_id vote; /* whom it voted for in term; 0 for none */
     uint64_t store;        /* id drawn when the store was empty; never 0 */
     bool voter; /* false from an empty store until it may vote again */
+    /* Known to be committed and stored when this was written; may lag. */
+    uint64_t commit;
 };
 
 enum quorum_record_kind {
--- a/src/quorum/quorum_core.c
+++ b/src/quorum/quorum_core.c
@@ -125,6 +125,7 @@
         quorum_log_append(&core->log, stored->entries->pdata[i]);
     }
     core->stored = quorum_log_last(&core->log);
+    core->resume = true;
     if (core->hard.term < quorum_log_last_term(&core->log)) {
         core->hard.term = quorum_log_last_term(&core->log);
         core->hard.vote = core->options.self; /* none to give in this term */
@@ -172,6 +173,11 @@
         quorum_act(core, QUORUM_ACT_INSTALL_SNAPSHOT)->u.install =
             quorum_snapshot_ref(core->snapshot);
     }
+    if (core->resume) {
+        core->resume = false;
+        quorum_commit_to(core,
+                         MIN(core->hard.commit, quorum_log_last(&core->log)));
+    }
     take_event(core, event);
     quorum_flush(core);
     core->out = NULL;
--- a/src/quorum/quorum_out.c
+++ b/src/quorum/quorum_out.c
@@ -148,18 +148,28 @@
     }
 }
 
-/* One store action for all records of the step, the hard state first. */
+/*
+ * One store action for all records of the step, the hard state first.  What
+ * it says of the commit covers only entries that are stored already: the
+ * step's own may be cut off behind it.
+ */
 static void
 emit_store(struct quorum_core *core)
 {
     struct quorum_storing storing;
     struct quorum_action *action;
+    uint64_t commit = MIN(core->commit, core->stored);
     size_t count = core->records->len + (core->hard_dirty ? 1 : 0);
     struct quorum_record *records;
 
     if (count == 0) {
         return;
     }
+    if (commit > core->hard.commit) {
+        core->hard.commit = commit;
+        count += core->hard_dirty ? 0 : 1;
+        core->hard_dirty = true;
+    }
     records = g_new0(struct quorum_record, count);
     if (core->hard_dirty) {
         records[0].kind = QUORUM_RECORD_HARD;
--- a/src/quorum/quorum_state.h
+++ b/src/quorum/quorum_state.h
@@ -58,6 +58,7 @@
     struct quorum_log log;
     struct quorum_snapshot *snapshot; /* latest, or NULL */
     bool install;                     /* tell the snapshot in the first step */
+    bool resume;                      /* apply what is known as committed */
     struct quorum_admitted admitted[QUORUM_VOTERS_MAX]; /* as applied */
     uint64_t commit;
     uint64_t applied;
