--- a/Makefile
+++ b/Makefile
@@ -21,13 +21,14 @@
 CFLAGS   = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wstrict-prototypes \
            -Wmissing-prototypes -Wshadow -Wpointer-arith -D_GNU_SOURCE
 CXXFLAGS = -std=gnu++17 -O1 -g -Wall -Wextra -Werror
-CPPFLAGS = -Isrc $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+CPPFLAGS = -Isrc -Iplatform $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 LDLIBS   = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -largtable2 \
            -lcrypto -lpthread -lm
 
 LIB_SRC  = $(wildcard src/*/*.c)
 PLATFORM_SRC = $(wildcard platform/*.c)
 PLATFORM_OBJ = $(PLATFORM_SRC:%.c=$(B)/%.o)
+PLATFORM_LIB = $(filter-out %/main.o,$(PLATFORM_OBJ))
 LIB_OBJ  = $(LIB_SRC:%.c=$(B)/%.o)
 BIN      = $(B)/parsleyspur
 LIB      = $(B)/libparsleyspur.a
@@ -75,8 +76,10 @@
 $(STANDINS): $(B)/%: $(B)/%.o $(STANDIN_LIB_OBJ) $(LIB)
 	$(CC) -o $@ $^ $(LDLIBS)
 
+$(B)/tests/unit/test_platform: $(PLATFORM_LIB)
+
 $(UNITS): $(B)/%: $(B)/%.o $(LIB)
-	$(CC) -o $@ $^ $(LDLIBS) -lcmocka
+	$(CC) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS) -lcmocka
 
 $(BENCHES): $(B)/%: $(B)/%.o $(LIB)
 	$(CC) -o $@ $^ $(LDLIBS)
--- a/src/affinity/affinity.c
+++ b/src/affinity/affinity.c
@@ -116,7 +116,8 @@
 /*
  * A copy of an opening goes where the first one went: two targets that both
  * answered would leave the caller with the cookie of one and the sequence
- * numbers of the other.  Only a target that answers nobody is given up.
+ * numbers of the other.  Only a target that several flows found silent is
+ * given up.
  */
 static bool
 repeat_opening(struct affinity_core *core, uint64_t now_us,
@@ -127,7 +128,10 @@
     const struct catalog_target *target =
         catalog_find_target(catalog, flow->host);
 
-    affinity_load_unanswered(core, load, now_us);
+    if (!flow->repeated) {
+        flow->repeated = true;
+        affinity_load_unanswered(core, load, now_us);
+    }
     if (target == NULL || target->state == CATALOG_GONE ||
         affinity_load_suspect(load, now_us)) {
         affinity_flow_end(core, flow);
@@ -218,14 +222,14 @@
                      struct affinity_verdict *verdict)
 {
     *verdict = (struct affinity_verdict){0};
-    if (catalog_version(catalog) == 0) {
-        decide(verdict, AFFINITY_DROP, AFFINITY_NOT_SYNCED);
+    if ((packet->flags & AFFINITY_SYN) == 0) {
+        take_packet(core, now_us, catalog, packet, verdict);
     }
-    else if ((packet->flags & AFFINITY_SYN) != 0) {
-        take_opening(core, now_us, catalog, packet, verdict);
+    else if (catalog_version(catalog) == 0) {
+        decide(verdict, AFFINITY_DROP, AFFINITY_NOT_SYNCED);
     }
     else {
-        take_packet(core, now_us, catalog, packet, verdict);
+        take_opening(core, now_us, catalog, packet, verdict);
     }
     core->counters.reasons[verdict->reason]++;
 }
--- a/src/affinity/affinity.h
+++ b/src/affinity/affinity.h
@@ -71,7 +71,7 @@
     uint32_t flows_max;        /* followed at once; 65,536 */
     uint32_t silence_us;       /* an opening without an answer; 2,000,000 */
     uint32_t suspect_us;       /* pause for a silent target; 1,000,000 */
-    uint32_t suspect_openings; /* unanswered in a row; 2 */
+    uint32_t suspect_openings; /* flows in a row without an answer; 2 */
 };
 
 struct affinity_counters {
--- a/src/affinity/affinity_load.c
+++ b/src/affinity/affinity_load.c
@@ -38,8 +38,9 @@
 }
 
 /*
- * An opening was repeated, so the target has not answered it in time.  After
- * several in a row new flows pass it over for a while, then one tries again.
+ * A flow's opening was repeated, so the target has not answered in time, or
+ * the answer was lost.  After several flows in a row new ones pass the target
+ * over for a while, then one tries again.
  */
 void
 affinity_load_unanswered(struct affinity_core *core,
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -16,7 +16,7 @@
     uint64_t host;
     uint32_t busy;       /* requests in progress */
     uint32_t lasting;    /* open flows of routes whose flows last */
-    uint32_t unanswered; /* openings in a row without an answer */
+    uint32_t unanswered; /* flows in a row whose opening was repeated */
     uint64_t suspect_until_us;
     uint64_t cold_until_us;
     uint64_t cold_revision; /* of the row that told of it */
@@ -37,7 +37,8 @@
     uint64_t route; /* key */
     enum affinity_phase phase;
     bool lasting;
-    bool busy; /* a request waits for its answer */
+    bool busy;     /* a request waits for its answer */
+    bool repeated; /* its opening was sent again */
     uint32_t requests;
     uint32_t first_sequence; /* of the opening */
     uint32_t acknowledged;
--- a/src/catalog/catalog_update.c
+++ b/src/catalog/catalog_update.c
@@ -5,7 +5,7 @@
 #include "peer/catalog_wire.h"
 
 static void add_routes(const struct catalog *, uint64_t from,
-                       Parsleyspur__CatalogUpdate *);
+                       bool leave_removed, Parsleyspur__CatalogUpdate *);
 static void add_targets(const struct catalog *, uint64_t from,
                         Parsleyspur__CatalogUpdate *);
 static void add_pools(const struct catalog *, Parsleyspur__CatalogUpdate *);
@@ -13,7 +13,7 @@
 static void merge_head(struct catalog *, const Parsleyspur__CatalogUpdate *);
 
 static void
-add_routes(const struct catalog *catalog, uint64_t from,
+add_routes(const struct catalog *catalog, uint64_t from, bool leave_removed,
            Parsleyspur__CatalogUpdate *update)
 {
     GHashTableIter iter;
@@ -23,7 +23,7 @@
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const struct catalog_route *route = value;
 
-        if (route->revision > from && !(update->whole && route->removed)) {
+        if (route->revision > from && !(route->removed && leave_removed)) {
             catalog_wire_add_route(update, route);
         }
     }
@@ -56,7 +56,8 @@
 
 /*
  * Append what has changed since the revision FROM, or the whole catalog if
- * that is 0 or too long ago.
+ * that is 0 or too long ago.  A complete one holds removed rows, too: whoever
+ * takes it may have to tell others of them.
  */
 void
 catalog_pack_update(const struct catalog *catalog, uint64_t from,
@@ -76,7 +77,9 @@
     update->idle_ms = catalog->idle_ms;
     update->tables_revision = catalog->tables_revision;
     update->changed = catalog->changed;
-    add_routes(catalog, from, update);
+    update->floor = catalog->floor;
+    add_routes(catalog, from, update->whole && scope == CATALOG_FOR_ENTRY,
+               update);
     add_targets(catalog, from, update);
     if (catalog->tables_revision > from) {
         add_pools(catalog, update);
@@ -127,6 +130,7 @@
 {
     catalog->revision = update->to;
     catalog->changed = update->changed;
+    catalog->floor = MAX(catalog->floor, update->floor);
     catalog->version = update->version;
     catalog->idle_ms = update->idle_ms;
     catalog->tables_revision = update->tables_revision;
--- a/src/peer/catalog.pb-c.c
+++ b/src/peer/catalog.pb-c.c
@@ -811,7 +811,7 @@
   (ProtobufCMessageInit) parsleyspur__catalog_seat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__catalog_update__field_descriptors[12] =
+static const ProtobufCFieldDescriptor parsleyspur__catalog_update__field_descriptors[13] =
 {
   {
     "from",
@@ -957,10 +957,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "floor",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__CatalogUpdate, floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__catalog_update__field_indices_by_name[] = {
   11,   /* field[11] = changed */
   9,   /* field[9] = document */
+  12,   /* field[12] = floor */
   0,   /* field[0] = from */
   4,   /* field[4] = idle_ms */
   5,   /* field[5] = pools */
@@ -975,7 +988,7 @@
 static const ProtobufCIntRange parsleyspur__catalog_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor parsleyspur__catalog_update__descriptor =
 {
@@ -985,7 +998,7 @@
   "Parsleyspur__CatalogUpdate",
   "parsleyspur",
   sizeof(Parsleyspur__CatalogUpdate),
-  12,
+  13,
   parsleyspur__catalog_update__field_descriptors,
   parsleyspur__catalog_update__field_indices_by_name,
   1,  parsleyspur__catalog_update__number_ranges,
--- a/src/peer/catalog.pb-c.h
+++ b/src/peer/catalog.pb-c.h
@@ -131,10 +131,14 @@
   ProtobufCBinaryData document;
   uint64_t tables_revision;
   uint64_t changed;
+  /*
+   * differences from below it are not known any more
+   */
+  uint64_t floor;
 };
 #define PARSLEYSPUR__CATALOG_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__catalog_update__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0 }
 
 
 /*
--- a/tests/property/prop_quorum.cc
+++ b/tests/property/prop_quorum.cc
@@ -31,7 +31,8 @@
                                                           {1, Op::Loss},
                                                           {1, Op::Delay},
                                                           {1, Op::Slow},
-                                                          {1, Op::FailDisk}})),
+                                                          {1, Op::FailDisk},
+                                                          {2, Op::Replace}})),
             gen::set(&Step::a, gen::inRange(0, 5)),
             gen::set(&Step::b, gen::inRange(0, 8)),
             gen::set(&Step::wait_ms, gen::weightedOneOf<int>(
@@ -48,7 +49,7 @@
     static const char *const names[] = {
         "Propose", "Resend",  "Crash",     "Wipe",       "Restart",
         "Cut",     "Isolate", "IsolateIn", "IsolateOut", "Heal",
-        "Loss",    "Delay",   "Slow",      "FailDisk"};
+        "Loss",    "Delay",   "Slow",      "FailDisk",   "Replace"};
 
     return out << "{" << names[static_cast<int>(step.op)] << " " << step.a
                << " " << step.b << " " << step.wait_ms << "ms}";
@@ -66,6 +67,7 @@
     total.reads += seen.reads;
     total.lease_lost += seen.lease_lost;
     total.wipes += seen.wipes;
+    total.replaced += seen.replaced;
     total.unknown += seen.unknown;
     total.events += seen.events;
 }
@@ -94,7 +96,8 @@
               << ", admissions " << total.admissions << ", installs "
               << total.installs << ", reads checked " << total.reads
               << ", leases lost " << total.lease_lost << ", wipes "
-              << total.wipes << ", unknown outcomes " << total.unknown
-              << ", events " << total.events << "\n";
+              << total.wipes << ", replaced " << total.replaced
+              << ", unknown outcomes " << total.unknown << ", events "
+              << total.events << "\n";
     return passed ? 0 : 1;
 }
--- a/tests/property/quorum_world.h
+++ b/tests/property/quorum_world.h
@@ -38,6 +38,7 @@
     Delay,      /* up to longest_delays_ms[a] for each message */
     Slow,       /* writes of node a take b * 100 ms */
     FailDisk,   /* the next write of node a fails */
+    Replace,    /* an empty node takes a's place; a itself runs on */
     OpMax
 };
 
@@ -57,6 +58,7 @@
     uint64_t reads = 0;
     uint64_t lease_lost = 0;
     uint64_t wipes = 0;
+    uint64_t replaced = 0;
     uint64_t unknown = 0;
     uint64_t events = 0;
 };
@@ -79,7 +81,10 @@
     uint64_t write_us = 2000;
     uint64_t checked = 0; /* commit index compared so far */
     bool fail_next = false;
-    bool wiped = false; /* and without a vote since */
+    bool wiped = false;       /* and without a vote since */
+    bool lost_before = false; /* not its voter's first store */
+    uint64_t tenure = 0;      /* which holder of its voter's place it is */
+    uint64_t known[5] = {};   /* tenures of others, as heard */
 };
 
 enum class Due {
@@ -96,6 +101,7 @@
     uint64_t life; /* not read for messages: they reach any life */
     Due due;
     std::shared_ptr<std::string> bytes;
+    uint64_t tenure; /* of a message's sender */
     bool
     operator<(const Event &other) const
     {
@@ -127,12 +133,13 @@
     std::string broken; /* the first promise found broken */
     Seen seen;
 
-    std::vector<Node> nodes;
+    size_t count;            /* of voters */
+    std::vector<Node> nodes; /* the voters, then those that were replaced */
     std::priority_queue<Event> events;
     std::mt19937_64 random;
     uint64_t now = 1000000; /* microseconds */
     uint64_t order = 0;
-    bool cut[5][5] = {};
+    bool cut[10][10] = {};
     int loss = 0;
     uint64_t delay_us = 1000;
     bool formed = false;     /* every node has voted at some time */
@@ -154,7 +161,8 @@
     size_t draw(size_t below);
     void fail(const std::string &);
     void push(uint64_t at, int node, Due,
-              std::shared_ptr<std::string> = nullptr);
+              std::shared_ptr<std::string> = nullptr, uint64_t tenure = 0);
+    bool is_heard(Node &, const quorum_message &, uint64_t tenure);
     void start(int);
     void stop(int, bool wipe);
     void persist(Node &, const quorum_record &);
@@ -169,6 +177,8 @@
     void new_edit();
     void apply_op(const Step &);
     void isolate(int, bool in, bool out);
+    bool may_lose(int);
+    void replace(int);
     void check(int);
     void check_reads();
     void check_logs();
--- a/tests/property/quorum_world_check.h
+++ b/tests/property/quorum_world_check.h
@@ -66,7 +66,9 @@
     bool all = true;
 
     for (Node &node : nodes) {
-        all = all && node.disk.hard.voter;
+        bool former = &node >= &nodes[count];
+
+        all = all && (former || node.disk.hard.voter);
         if (node.core == nullptr) {
             continue;
         }
@@ -97,12 +99,16 @@
 {
     uint64_t commit = 0;
 
-    for (Node &node : nodes) {
+    for (size_t i = 0; i < count; i++) {
+        Node &node = nodes[i];
+
         if (quorum_core_read_ok(node.core, local(node))) {
             commit = quorum_core_commit(node.core);
         }
     }
-    for (Node &node : nodes) {
+    for (size_t i = 0; i < count; i++) {
+        Node &node = nodes[i];
+
         if (commit == 0 || quorum_core_commit(node.core) != commit ||
             !quorum_core_votes(node.core)) {
             return false;
@@ -119,12 +125,13 @@
     memset(cut, 0, sizeof(cut));
     loss = 0;
     delay_us = 1000;
-    for (size_t i = 0; i < nodes.size(); i++) {
+    for (size_t i = 0; i < count; i++) {
         nodes[i].write_us = 2000;
         nodes[i].fail_next = false;
+        stop((int)(i + count), false); /* told by now that they are replaced */
     }
     until(now + 600000);
-    for (size_t i = 0; i < nodes.size(); i++) {
+    for (size_t i = 0; i < count; i++) {
         if (nodes[i].core == nullptr) {
             start((int)i);
         }
@@ -144,7 +151,9 @@
         }
         return;
     }
-    for (Node &node : nodes) {
+    for (size_t i = 0; i < count; i++) {
+        Node &node = nodes[i];
+
         seen.lease_lost += quorum_core_counters(node.core)->lease_lost;
         seen.admissions += quorum_core_counters(node.core)->admissions;
         for (const auto &answer : answers) {
--- a/tests/property/quorum_world_impl.h
+++ b/tests/property/quorum_world_impl.h
@@ -12,17 +12,20 @@
 static const uint64_t longest_delays_ms[] = {1, 20, 100, 500, 2000};
 static const double DRIFT = 0.01; /* as the cores assume */
 
-World::World(size_t count, uint64_t seed) : nodes(count), random(seed)
+World::World(size_t voters, uint64_t seed)
+    : count(voters), nodes(2 * voters), random(seed)
 {
-    for (size_t i = 0; i < count; i++) {
+    for (size_t i = 0; i < 2 * count; i++) {
         Node &node = nodes[i];
         double part = (double)draw(2001) / 1000.0 - 1.0;
 
-        node.id.value = i + 1;
+        node.id.value = i % count + 1;
         node.rate = 1.0 + part * DRIFT;
         node.offset = draw(1000000);
         quorum_stored_init(&node.disk);
-        start((int)i);
+        if (i < count) {
+            start((int)i);
+        }
     }
 }
 
@@ -55,10 +58,31 @@
 }
 
 void
-World::push(uint64_t at, int node, Due due, std::shared_ptr<std::string> bytes)
+World::push(uint64_t at, int node, Due due, std::shared_ptr<std::string> bytes,
+            uint64_t tenure)
 {
-    events.push(
-        Event{at, order++, node, nodes[node].life, due, std::move(bytes)});
+    events.push(Event{at, order++, node, nodes[node].life, due,
+                      std::move(bytes), tenure});
+}
+
+/*
+ * As the daemons do it: a message for a place that has passed to another
+ * holder is left out by all who have heard of that.
+ */
+bool
+World::is_heard(Node &node, const quorum_message &message, uint64_t tenure)
+{
+    uint64_t &known = node.known[message.from.value - 1];
+
+    if (quorum_core_read_ok(node.core, local(node))) {
+        /* It has applied the entry that gave the place away. */
+        known = std::max(known, nodes[message.from.value - 1].tenure);
+    }
+    if (tenure < known) {
+        return false;
+    }
+    known = tenure;
+    return true;
 }
 
 void
@@ -68,11 +92,12 @@
     quorum_options options = {};
 
     options.self = node.id;
-    options.voter_count = nodes.size();
-    for (size_t i = 0; i < nodes.size(); i++) {
+    options.voter_count = count;
+    for (size_t i = 0; i < count; i++) {
         options.voters[i].value = i + 1;
     }
     options.seed = random();
+    options.may_not_found = node.lost_before;
     options.heartbeat_us = 200 * MS;
     options.snapshot_entries = 8;
     options.trailing_entries = 3;
@@ -171,7 +196,9 @@
             }
             input.kind = QUORUM_EV_MESSAGE;
             input.u.message = &message;
-            step(event.node, input);
+            if (is_heard(node, message, event.tenure)) {
+                step(event.node, input);
+            }
             quorum_message_clear(&message);
             continue;
         }
@@ -254,10 +281,10 @@
     case QUORUM_ACT_ROLE:
         if (action.u.role.role == QUORUM_LEADER) {
             auto found =
-                leaders.emplace(action.u.role.term, node.id.value).first;
+                leaders.emplace(action.u.role.term, (uint64_t)at).first;
 
             seen.leaders++;
-            if (found->second != node.id.value) {
+            if (found->second != (uint64_t)at) {
                 fail("election safety: two leaders in one term");
             }
         }
@@ -295,6 +322,10 @@
     std::shared_ptr<std::string> bytes;
     int copies = 1;
 
+    if (at + (int)count != from && nodes[at + count].core != nullptr &&
+        draw(4) == 0) {
+        at += (int)count; /* to one that was replaced */
+    }
     if (cut[from][at] || (loss != 0 && draw(16) < (size_t)loss)) {
         return;
     }
@@ -309,7 +340,7 @@
         if (draw(64) == 0) {
             delay += draw(4000 * MS); /* long in coming */
         }
-        push(now + delay, at, Due::Message, bytes);
+        push(now + delay, at, Due::Message, bytes, nodes[from].tenure);
     }
 }
 
@@ -347,7 +378,9 @@
     node.writes.clear();
     step(at, event);
     stop(at, false);
-    push(now + 300 * MS, at, Due::Restart);
+    if (at < (int)count) {
+        push(now + 300 * MS, at, Due::Restart);
+    }
 }
 
 void
@@ -431,23 +464,68 @@
 void
 World::isolate(int at, bool in, bool out)
 {
-    for (size_t i = 0; i < nodes.size(); i++) {
+    for (size_t i = 0; i < 2 * count; i++) {
         cut[i][at] = cut[i][at] || in;
         cut[at][i] = cut[at][i] || out;
     }
 }
 
+/* True if the store of node A may be lost: at most a minority is at once. */
+bool
+World::may_lose(int a)
+{
+    size_t lost = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        lost += nodes[i].wiped ? 1 : 0;
+    }
+    return nodes[a].wiped || lost < (count - 1) / 2;
+}
+
+/*
+ * Node A's place is taken by an empty one.  A itself, which was only out of
+ * reach, runs on with its store and its vote, and hears some of what is meant
+ * for the other; nobody has told it.
+ */
+void
+World::replace(int a)
+{
+    int former = a + (int)count;
+
+    if (nodes[a].core == nullptr) {
+        start(a);
+    }
+    stop(former, false);
+    quorum_stored_clear(&nodes[former].disk);
+    for (size_t i = 0; i < 2 * count; i++) { /* cut off as it was */
+        cut[former][i] = cut[a][i];
+        cut[i][former] = cut[i][a];
+    }
+    stop(a, false);
+    nodes[former].disk = nodes[a].disk;
+    nodes[former].lost_before = nodes[a].lost_before;
+    nodes[former].tenure = nodes[a].tenure;
+    nodes[a].tenure++;
+    nodes[former].rate = nodes[a].rate;
+    nodes[former].offset = nodes[a].offset;
+    quorum_stored_init(&nodes[a].disk);
+    nodes[a].lost_before = true;
+    nodes[a].wiped = true;
+    seen.replaced++;
+    start(former);
+    push(now + draw(500 * MS), a, Due::Restart);
+}
+
 void
 World::apply_op(const Step &s)
 {
-    int a = s.a % (int)nodes.size();
-    int b = s.b % (int)nodes.size();
-    size_t lost = 0;
+    int a = s.a % (int)count;
+    int b = s.b % (int)count;
 
     switch (s.op) {
     case Op::Propose:
         new_edit();
-        for (size_t i = 0; i < nodes.size(); i++) { /* whoever believes it */
+        for (size_t i = 0; i < count; i++) { /* whoever believes it */
             if (nodes[i].core != nullptr &&
                 quorum_core_role(nodes[i].core) == QUORUM_LEADER) {
                 propose((int)i, edits.size() - 1);
@@ -456,7 +534,7 @@
         propose(a, edits.size() - 1);
         break;
     case Op::Resend:
-        for (size_t i = 0; i < nodes.size() && !edits.empty(); i++) {
+        for (size_t i = 0; i < count && !edits.empty(); i++) {
             propose((int)i, (size_t)s.b % edits.size());
         }
         break;
@@ -464,14 +542,12 @@
         stop(a, false);
         break;
     case Op::Wipe:
-        for (const Node &node : nodes) {
-            lost += node.wiped ? 1 : 0;
-        }
-        if (nodes[a].wiped || lost < (nodes.size() - 1) / 2) {
+        if (may_lose(a)) {
             early_wipe = early_wipe || !formed;
             if (nodes[a].core == nullptr) {
                 start(a);
             }
+            nodes[a].lost_before = formed;
             stop(a, true);
             push(now + draw(500 * MS), a, Due::Restart);
         }
@@ -508,6 +584,16 @@
     case Op::FailDisk:
         nodes[a].fail_next = true;
         break;
+    case Op::Replace:
+        for (size_t i = 0; i < count; i++) { /* a leader must commit it */
+            if ((int)i != a && formed && may_lose(a) &&
+                nodes[i].core != nullptr &&
+                quorum_core_read_ok(nodes[i].core, local(nodes[i]))) {
+                replace(a);
+                break;
+            }
+        }
+        break;
     case Op::OpMax:
         break;
     }
--- /dev/null
+++ b/tests/unit/catalog_script.h
@@ -0,0 +1,91 @@
+/* Short ways to fill a catalog, for tests. */
+#ifndef PS_TESTS_CATALOG_SCRIPT_H
+#define PS_TESTS_CATALOG_SCRIPT_H
+
+#include <string.h>
+
+#include "catalog/catalog.h"
+
+#define ROUTE_ADDRESS 0xc6120001U /* 198.18.0.1 */
+
+/* A catalog and the index of its last command. */
+struct script {
+    struct catalog *catalog;
+    uint64_t index;
+    struct catalog_change change; /* of the last command */
+};
+
+static inline void
+apply(struct script *script, const struct catalog_command *command)
+{
+    catalog_apply(script->catalog, ++script->index, command, &script->change);
+}
+
+/* Put tables of VERSION in force: COUNT routes to POOL, by ports from 1. */
+static inline void
+replace(struct script *script, uint64_t version, const char *pool,
+        unsigned count)
+{
+    struct catalog_command command;
+    char *document = g_strdup_printf("version %u", (unsigned)version);
+
+    command.kind = CATALOG_REPLACE;
+    catalog_tables_init(&command.u.tables);
+    command.u.tables.version = version;
+    command.u.tables.idle_ms = 15000;
+    command.u.tables.document = g_bytes_new_take(document, strlen(document));
+    catalog_tables_pool(&command.u.tables, pool);
+    for (unsigned i = 0; i < count; i++) {
+        struct catalog_route route;
+
+        memset(&route, 0, sizeof(route));
+        route.key = catalog_route_key(ROUTE_ADDRESS, (uint16_t)(i + 1));
+        route.timeout_ms = 1000;
+        route.split_count = 1;
+        route.splits[0].pool = view_pool_id(pool);
+        route.splits[0].weight = 1;
+        g_array_append_val(command.u.tables.routes, route);
+    }
+    apply(script, &command);
+    catalog_command_clear(&command);
+}
+
+/* A ready target of POOL at 10.0.0.HOST. */
+static inline struct catalog_target
+target_of(uint64_t host, uint64_t born, uint64_t sequence, const char *pool)
+{
+    struct catalog_target target;
+
+    memset(&target, 0, sizeof(target));
+    target.host = host;
+    target.born = born;
+    target.sequence = sequence;
+    target.address = 0x0a000000U + (uint32_t)host;
+    target.port = 8080;
+    target.pool = view_pool_id(pool);
+    target.zone = 1;
+    target.slots = 2;
+    return target;
+}
+
+static inline void
+tell(struct script *script, enum catalog_command_kind kind,
+     const struct catalog_target *target)
+{
+    struct catalog_command command;
+
+    command.kind = kind;
+    command.u.target = *target;
+    apply(script, &command);
+}
+
+static inline void
+announce(struct script *script, uint64_t host, uint64_t born,
+         uint64_t sequence, const char *pool)
+{
+    struct catalog_target target = target_of(host, born, sequence, pool);
+
+    tell(script, CATALOG_ANNOUNCE, &target);
+}
+
+#endif
--- /dev/null
+++ b/tests/unit/test_affinity.c
@@ -0,0 +1,313 @@
+/* Verdicts on packets: openings, copies, cookies, targets that end. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "affinity/affinity.h"
+#include "catalog_script.h"
+
+#define SECOND UINT64_C(1000000)
+#define ZONE   1
+
+struct world {
+    struct script script;
+    struct affinity_core *core;
+    uint64_t now_us;
+    struct affinity_verdict verdict; /* on the last packet */
+};
+
+static void test_cookie_names_target(void **);
+static void test_copy_goes_to_the_same(void **);
+static void test_lost_answers(void **);
+static void test_silent_target_is_passed_over(void **);
+static void test_no_route(void **);
+static void test_target_gone(void **);
+static void test_unknown_cookie(void **);
+static void test_draining_and_missing(void **);
+static void test_flows_dealt_evenly(void **);
+static void test_own_zone_first(void **);
+static void test_route_change_leaves_flows(void **);
+
+static struct world
+begin(unsigned targets)
+{
+    struct affinity_options options = {.zone = ZONE, .seed = 3};
+    struct world world = {.now_us = SECOND};
+
+    world.script.catalog = catalog_new();
+    world.core = affinity_core_new(&options);
+    replace(&world.script, 1, "desk", 1);
+    for (unsigned i = 1; i <= targets; i++) {
+        announce(&world.script, i, 100, 1, "desk");
+    }
+    affinity_core_catalog(world.core, world.now_us, world.script.catalog);
+    return world;
+}
+
+static void
+end(struct world *world)
+{
+    affinity_core_free(world->core);
+    catalog_free(world->script.catalog);
+}
+
+static void
+packet(struct world *world, uint16_t caller, unsigned flags, uint32_t cookie,
+       uint32_t acknowledged, uint16_t payload)
+{
+    struct affinity_packet sent = {
+        .source = 0x64400001,
+        .source_port = caller,
+        .destination = ROUTE_ADDRESS,
+        .destination_port = 1,
+        .flags = flags,
+        .cookie = cookie,
+        .sequence = 1000,
+        .acknowledged = acknowledged,
+        .payload = payload,
+    };
+
+    affinity_core_packet(world->core, world->now_us, world->script.catalog,
+                         &sent, &world->verdict);
+}
+
+static uint64_t
+open_flow(struct world *world, uint16_t caller)
+{
+    packet(world, caller, AFFINITY_SYN, 0, 0, 0);
+    assert_int_equal(world->verdict.action, AFFINITY_FORWARD);
+    return world->verdict.target->host;
+}
+
+/* Any daemon finds the target, also one that has not seen the opening. */
+static void
+test_cookie_names_target(void **state)
+{
+    struct world world = begin(5);
+    struct affinity_options options = {.zone = ZONE, .seed = 99};
+    uint64_t host = open_flow(&world, 7);
+    uint32_t cookie = world.verdict.target->cookie;
+
+    (void)state;
+    affinity_core_free(world.core);
+    world.core = affinity_core_new(&options);
+    packet(&world, 7, AFFINITY_ACK, cookie, 1, 0);
+    assert_int_equal(world.verdict.action, AFFINITY_FORWARD);
+    assert_int_equal(world.verdict.target->host, host);
+    end(&world);
+}
+
+static void
+test_copy_goes_to_the_same(void **state)
+{
+    struct world world = begin(5);
+    uint64_t host = open_flow(&world, 7);
+
+    (void)state;
+    world.now_us += 200000;
+    assert_int_equal(open_flow(&world, 7), host);
+    assert_int_equal(world.verdict.reason, AFFINITY_REPEATED);
+    end(&world);
+}
+
+/* A single flow without an answer does not make a target suspect. */
+static void
+test_lost_answers(void **state)
+{
+    struct world world = begin(2);
+    uint64_t host = open_flow(&world, 1);
+
+    (void)state;
+    for (int copy = 1; copy <= 2; copy++) {
+        world.now_us += (uint64_t)copy * 200000;
+        assert_int_equal(open_flow(&world, 1), host);
+        assert_int_equal(world.verdict.reason, AFFINITY_REPEATED);
+    }
+    end(&world);
+}
+
+/* One that answers no flow is given up, then tried again. */
+static void
+test_silent_target_is_passed_over(void **state)
+{
+    struct world world = begin(2);
+    uint64_t silent = open_flow(&world, 1);
+    uint16_t caller = 2;
+
+    (void)state;
+    while (open_flow(&world, caller) != silent) {
+        caller++;
+    }
+    world.now_us += 200000;
+    assert_int_equal(open_flow(&world, 1), silent);
+    assert_int_not_equal(open_flow(&world, caller), silent);
+    assert_int_equal(world.verdict.reason, AFFINITY_PLACED_ANEW);
+    for (caller = 100; caller < 120; caller++) {
+        assert_int_not_equal(open_flow(&world, caller), silent);
+        packet(&world, caller, AFFINITY_ACK, world.verdict.target->cookie, 1,
+               0);
+        packet(&world, caller, AFFINITY_FIN, world.verdict.target->cookie, 1,
+               0);
+    }
+    world.now_us += 2 * SECOND;
+    for (caller = 200; open_flow(&world, caller) != silent; caller++) {
+        assert_true(caller < 220);
+    }
+    end(&world);
+}
+
+static void
+test_no_route(void **state)
+{
+    struct world world = begin(1);
+
+    (void)state;
+    replace(&world.script, 2, "desk", 0);
+    packet(&world, 7, AFFINITY_SYN, 0, 0, 0);
+    assert_int_equal(world.verdict.action, AFFINITY_RESET);
+    assert_int_equal(world.verdict.reason, AFFINITY_NO_ROUTE);
+    end(&world);
+}
+
+/* A flow of a target that has left is reset; one of a reborn host is not. */
+static void
+test_target_gone(void **state)
+{
+    struct world world = begin(1);
+    struct catalog_target leaving = target_of(1, 100, 0, "desk");
+    uint32_t cookie;
+
+    (void)state;
+    open_flow(&world, 7);
+    cookie = world.verdict.target->cookie;
+    tell(&world.script, CATALOG_LEAVE, &leaving);
+    packet(&world, 7, AFFINITY_ACK, cookie, 1, 10);
+    assert_int_equal(world.verdict.action, AFFINITY_RESET);
+    assert_int_equal(world.verdict.reason, AFFINITY_TARGET_GONE);
+    announce(&world.script, 1, 200, 1, "desk");
+    packet(&world, 7, AFFINITY_ACK, cookie, 1, 10);
+    assert_int_equal(world.verdict.action, AFFINITY_FORWARD);
+    end(&world);
+}
+
+static void
+test_unknown_cookie(void **state)
+{
+    struct world world = begin(1);
+
+    (void)state;
+    packet(&world, 7, AFFINITY_ACK, catalog_cookie(1) + 1, 1, 0);
+    assert_int_equal(world.verdict.action, AFFINITY_DROP);
+    packet(&world, 7, AFFINITY_ACK, 0, 1, 0);
+    assert_int_equal(world.verdict.action, AFFINITY_DROP);
+    end(&world);
+}
+
+static void
+test_draining_and_missing(void **state)
+{
+    struct world world = begin(3);
+    struct catalog_target draining = target_of(1, 100, 2, "desk");
+    struct catalog_target missing = target_of(2, 100, 0, "desk");
+
+    (void)state;
+    draining.state = CATALOG_DRAINING;
+    missing.missing = true;
+    tell(&world.script, CATALOG_ANNOUNCE, &draining);
+    tell(&world.script, CATALOG_PRESENCE, &missing);
+    for (uint16_t caller = 1; caller < 30; caller++) {
+        assert_int_equal(open_flow(&world, caller), 3);
+    }
+    /* The missing one is better than none, the draining one is not. */
+    missing.host = 3;
+    tell(&world.script, CATALOG_PRESENCE, &missing);
+    for (uint16_t caller = 100; caller < 130; caller++) {
+        assert_int_not_equal(open_flow(&world, caller), 1);
+    }
+    end(&world);
+}
+
+/* Flows that carry several requests are dealt evenly. */
+static void
+test_flows_dealt_evenly(void **state)
+{
+    struct world world = begin(5);
+    unsigned flows[6] = {0};
+
+    (void)state;
+    for (uint16_t caller = 1; caller <= 300; caller++) {
+        uint32_t cookie;
+
+        flows[open_flow(&world, caller)]++;
+        cookie = world.verdict.target->cookie;
+        packet(&world, caller, AFFINITY_ACK, cookie, 1, 0);
+        packet(&world, caller, AFFINITY_ACK, cookie, 1, 20);
+        packet(&world, caller, AFFINITY_ACK, cookie, 50, 0);
+        packet(&world, caller, AFFINITY_ACK, cookie, 50, 20);
+        packet(&world, caller, AFFINITY_ACK, cookie, 90, 0);
+    }
+    for (int host = 1; host <= 5; host++) {
+        assert_in_range(flows[host], 50, 70);
+    }
+    end(&world);
+}
+
+static void
+test_own_zone_first(void **state)
+{
+    struct world world = begin(2);
+    struct catalog_target remote = target_of(9, 100, 1, "desk");
+    unsigned remotes = 0;
+
+    (void)state;
+    remote.zone = ZONE + 1;
+    tell(&world.script, CATALOG_ANNOUNCE, &remote);
+    for (uint16_t caller = 1; caller <= 4; caller++) {
+        assert_int_not_equal(open_flow(&world, caller), 9);
+    }
+    /* Now a request waits for each slot of the own zone. */
+    for (uint16_t caller = 5; caller <= 30; caller++) {
+        remotes += open_flow(&world, caller) == 9 ? 1 : 0;
+    }
+    assert_true(remotes >= 5);
+    end(&world);
+}
+
+static void
+test_route_change_leaves_flows(void **state)
+{
+    struct world world = begin(2);
+    uint64_t host = open_flow(&world, 7);
+    uint32_t cookie = world.verdict.target->cookie;
+
+    (void)state;
+    announce(&world.script, 20, 100, 1, "other");
+    replace(&world.script, 2, "other", 1);
+    packet(&world, 7, AFFINITY_ACK, cookie, 1, 0);
+    assert_int_equal(world.verdict.target->host, host);
+    assert_int_equal(open_flow(&world, 8), 20);
+    end(&world);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_cookie_names_target),
+        cmocka_unit_test(test_copy_goes_to_the_same),
+        cmocka_unit_test(test_lost_answers),
+        cmocka_unit_test(test_silent_target_is_passed_over),
+        cmocka_unit_test(test_no_route),
+        cmocka_unit_test(test_target_gone),
+        cmocka_unit_test(test_unknown_cookie),
+        cmocka_unit_test(test_draining_and_missing),
+        cmocka_unit_test(test_flows_dealt_evenly),
+        cmocka_unit_test(test_own_zone_first),
+        cmocka_unit_test(test_route_change_leaves_flows),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_fleet_seats.c
@@ -0,0 +1,79 @@
+/* Which standby gets which seat. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "fleet/fleet_seats.h"
+
+static const struct fleet_standby standbys[] = {{40, 2}, {50, 4}};
+
+static void test_all_heard(void **);
+static void test_lost_voter(void **);
+static void test_vacant_first(void **);
+static void test_no_standby(void **);
+
+static void
+test_all_heard(void **state)
+{
+    const struct fleet_seat_view seats[] = {
+        {10, 1, true}, {20, 2, true}, {30, 3, true}};
+
+    (void)state;
+    assert_int_equal(fleet_seats_decide(seats, 3, standbys, 2).address, 0);
+}
+
+/* The standby of a zone without a voter is taken before the first one. */
+static void
+test_lost_voter(void **state)
+{
+    const struct fleet_seat_view seats[] = {
+        {10, 1, true}, {20, 2, true}, {30, 3, false}};
+    struct fleet_seat_change change;
+
+    (void)state;
+    change = fleet_seats_decide(seats, 3, standbys, 2);
+    assert_int_equal(change.seat, 2);
+    assert_int_equal(change.address, 50);
+}
+
+static void
+test_vacant_first(void **state)
+{
+    const struct fleet_seat_view seats[] = {{10, 1, true},
+                                            {20, 4, true},
+                                            {30, 3, true},
+                                            {0, 0, false},
+                                            {0, 0, false}};
+    struct fleet_seat_change change;
+
+    (void)state;
+    change = fleet_seats_decide(seats, 5, standbys, 2);
+    assert_int_equal(change.seat, 3);
+    assert_int_equal(change.address, 40);
+}
+
+static void
+test_no_standby(void **state)
+{
+    const struct fleet_seat_view seats[] = {
+        {10, 1, true}, {20, 2, false}, {30, 3, true}};
+
+    (void)state;
+    assert_int_equal(fleet_seats_decide(seats, 3, standbys, 0).address, 0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_all_heard),
+        cmocka_unit_test(test_lost_voter),
+        cmocka_unit_test(test_vacant_first),
+        cmocka_unit_test(test_no_standby),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
