--- a/src/affinity/affinity.c
+++ b/src/affinity/affinity.c
@@ -5,12 +5,14 @@
 #include "base/hash.h"
 
 #define SWEEP_US        500000 /* between looks for silent flows */
+#define BACKLOG_US      50000  /* to read what has waited in the socket */
 #define IDLE_DEFAULT_MS 15000  /* before the catalog tells */
 
 static guint key_hash(gconstpointer);
 static gboolean key_equal(gconstpointer, gconstpointer);
 static void decide(struct affinity_verdict *, enum affinity_action,
                    enum affinity_reason);
+static void note_turn(struct affinity_core *, uint64_t now_us);
 static void take_opening(struct affinity_core *, uint64_t now_us,
                          const struct catalog *,
                          const struct affinity_packet *,
@@ -27,6 +29,7 @@
     .silence_us = 2000000,
     .suspect_us = 1000000,
     .suspect_openings = 2,
+    .pause_us = 400000,
 };
 
 static const char *const reason_names[AFFINITY_REASON__MAX] = {
@@ -41,6 +44,7 @@
     [AFFINITY_UNKNOWN_COOKIE] = "unknown-cookie",
     [AFFINITY_NO_COOKIE] = "no-cookie",
     [AFFINITY_NOT_SYNCED] = "not-synced",
+    [AFFINITY_STALE] = "stale",
 };
 
 /* The stable name of REASON. */
@@ -80,6 +84,7 @@
     DEFAULT(silence_us);
     DEFAULT(suspect_us);
     DEFAULT(suspect_openings);
+    DEFAULT(pause_us);
 #undef DEFAULT
     core->rand = g_rand_new_with_seed_array(
         (const guint32 *)&own->seed, sizeof(own->seed) / sizeof(guint32));
@@ -214,6 +219,21 @@
     decide(verdict, AFFINITY_FORWARD, AFFINITY_COOKIE);
 }
 
+/*
+ * After a pause (a suspended VM, a stopped process) the socket holds openings
+ * of which copies have gone through other daemons since.  Passed on now they
+ * would open the flow at a second target, whose cookie the caller would take.
+ */
+static void
+note_turn(struct affinity_core *core, uint64_t now_us)
+{
+    if (core->turn_us != 0 && now_us > core->turn_us &&
+        now_us - core->turn_us > core->options.pause_us) {
+        core->stale_us = now_us + BACKLOG_US;
+    }
+    core->turn_us = MAX(core->turn_us, now_us);
+}
+
 /* Decide what becomes of PACKET, which came from a caller. */
 void
 affinity_core_packet(struct affinity_core *core, uint64_t now_us,
@@ -222,12 +242,16 @@
                      struct affinity_verdict *verdict)
 {
     *verdict = (struct affinity_verdict){0};
+    note_turn(core, now_us);
     if ((packet->flags & AFFINITY_SYN) == 0) {
         take_packet(core, now_us, catalog, packet, verdict);
     }
     else if (catalog_version(catalog) == 0) {
         decide(verdict, AFFINITY_DROP, AFFINITY_NOT_SYNCED);
     }
+    else if (now_us < core->stale_us) {
+        decide(verdict, AFFINITY_DROP, AFFINITY_STALE);
+    }
     else {
         take_opening(core, now_us, catalog, packet, verdict);
     }
@@ -264,6 +288,7 @@
 {
     uint32_t idle_ms = catalog_idle_ms(catalog);
 
+    note_turn(core, now_us);
     if (now_us < core->sweep_us) {
         return;
     }
--- a/src/affinity/affinity.h
+++ b/src/affinity/affinity.h
@@ -52,6 +52,8 @@
     AFFINITY_UNKNOWN_COOKIE, /* of a target that is not known here (yet) */
     AFFINITY_NO_COOKIE,      /* neither an opening nor of an open flow */
     AFFINITY_NOT_SYNCED,     /* the catalog is not known yet */
+    AFFINITY_STALE,          /* an opening that waited while this daemon
+                              * stood still; a copy has gone elsewhere */
     AFFINITY_REASON__MAX
 };
 
@@ -68,9 +70,10 @@
 struct affinity_options {
     uint32_t zone; /* of this daemon */
     uint64_t seed;
-    uint32_t flows_max;        /* followed at once; 65,536 */
-    uint32_t silence_us;       /* an opening without an answer; 2,000,000 */
-    uint32_t suspect_us;       /* pause for a silent target; 1,000,000 */
+    uint32_t flows_max;  /* followed at once; 65,536 */
+    uint32_t silence_us; /* an opening without an answer; 2,000,000 */
+    uint32_t suspect_us; /* pause for a silent target; 1,000,000 */
+    uint32_t pause_us;   /* without a tick: this daemon stood still; 400,000 */
     uint32_t suspect_openings; /* flows in a row without an answer; 2 */
 };
 
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -61,6 +61,8 @@
     GHashTable *flows;  /* key -> struct affinity_flow */
     GHashTable *habits; /* route -> struct affinity_habit */
     uint64_t sweep_us;
+    uint64_t turn_us;  /* when this daemon last did anything */
+    uint64_t stale_us; /* openings read before have waited for too long */
     struct affinity_counters counters;
 };
 
--- /dev/null
+++ b/tests/script/operator.py
@@ -0,0 +1,79 @@
+"""An operator of a fleet's tables, against several control daemons.
+
+    operator.py put VERSION EXTRA ADDRESS...   prints "acked" or "not acked"
+    operator.py read ADDRESS...                prints the versions that come
+
+`put` sends one table to the daemons in turn until one acknowledges it, as the
+platform does: a call without a clear answer is sent again, unchanged.
+"""
+import json
+import sys
+import time
+import urllib.error
+import urllib.request
+
+PUT_LIMIT_S = 15
+CALL_LIMIT_S = 1.0
+
+
+def table(version, extra):
+    """Port 81 goes to feeds, 82 to books, what follows sees no traffic."""
+    routes = [
+        {
+            "name": f"r{n}",
+            "host": "198.18.0.1",
+            "path_prefix": f"/{81 + n}/",
+            "kind": "idempotent",
+            "timeout_ms": 1000,
+            "target_latency_ms": 100,
+            "priority": 1,
+            "service": "books" if n == 1 else "feeds",
+        }
+        for n in range(2 + extra)
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "feeds"}, {"name": "books"}],
+        "limits": {"idle_timeout_ms": 15000},
+    }
+
+
+def call(address, path, body=None):
+    """The status and the body; status 0 without an answer."""
+    request = urllib.request.Request(f"http://{address}{path}", data=body)
+    try:
+        with urllib.request.urlopen(request, timeout=CALL_LIMIT_S) as answer:
+            return answer.status, answer.read()
+    except urllib.error.HTTPError as error:
+        return error.code, b""
+    except OSError:
+        return 0, b""
+
+
+def put(version, extra, addresses):
+    body = json.dumps(table(version, extra)).encode()
+    end = time.monotonic() + PUT_LIMIT_S
+    at = 0
+    while time.monotonic() < end:
+        status, _ = call(addresses[at % len(addresses)],
+                         "/v1/Config.Replace", body)
+        if status in (200, 400):
+            return status == 200
+        at += 1
+        time.sleep(0.05)
+    return False
+
+
+def main():
+    if sys.argv[1] == "put":
+        acked = put(int(sys.argv[2]), int(sys.argv[3]), sys.argv[4:])
+        print("acked" if acked else "not acked")
+        return
+    for address in sys.argv[2:]:
+        status, body = call(address, "/v1/Config.Read")
+        if status == 200:
+            print(json.loads(body)["version"])
+
+
+main()
