Add a soak of the fleet and a model of its load

tests/soak/fleet_soak.py: real processes, faults from outside by seed (signals, disks lost and full, links cut both and one way, slow, reset; hosts drained, crashed, reborn, addresses passed on), promises checked as hosts, callers and operators see them.

--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 BENCHES  = $(BENCH_SRC:%.c=$(B)/%)
 
 C_FILES  = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*/*.[ch] \
-           platform/*.[ch] \
+           platform/*.[ch] model/*.[ch] \
            tests/*/*.[ch] tests/*/*.cc bench/*.[ch]))
 TIDY_FILES = $(filter-out tests/fuzz/%,$(filter %.c,$(C_FILES)))
 
@@ -138,7 +138,7 @@
 	    [ -e "$$page" ] || continue; \
 	    mandoc -T lint -W warning "$$page" || exit 1; done
 
-check-build: all $(UNITS) $(PROPS) $(FUZZERS) $(BENCHES)
+check-build: all $(MODEL) $(UNITS) $(PROPS) $(FUZZERS) $(BENCHES)
 
 check: deps
 	+$(MAKE) --no-print-directory check-build
@@ -155,16 +155,31 @@
 	+$(MAKE) --no-print-directory all
 	@bash tools/demo.sh
 
+# make model PATTERN=burst SEED=7 MORE="--size grown --plot build"
+MODEL     = $(B)/model/model
+MODEL_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard model/*.c))
+PATTERN ?= all
+
+$(MODEL): $(MODEL_OBJ) $(LIB)
+	$(CC) -o $@ $^ $(LDLIBS)
+
+model: $(MODEL)
+	@$(MODEL) $(PATTERN) --seed $(SEED) $(MORE)
+
 SEED ?= 1
 MINUTES ?= 10
 soak: all
 	@bash tools/soak.sh $(SEED) $(MINUTES)
 
+SECONDS ?= 60
+fleet-soak: all
+	@python3 tests/soak/fleet_soak.py $(SEED) $(SECONDS)
+
 clean:
 	rm -rf $(B)
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 .PHONY: all deps proto format check-format check-lint check-build check \
-        bench demo soak clean
+        bench demo model soak fleet-soak clean
 .SECONDARY:
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -400,6 +400,16 @@
     return true;
 }
 
+/* Take other ways to peers' addresses from TEXT, as --peer-map has them. */
+bool
+settings_take_peer_map(struct settings *settings, const char *text,
+                       GError **error)
+{
+    g_free(settings->peer_map_text);
+    settings->peer_map_text = g_strdup(text);
+    return parse_map(settings, error);
+}
+
 /*
  * Check the settings against each other and derive the lists.  False with
  * ERR_SETTING naming the contradiction and the remedy.
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -96,6 +96,7 @@
 char *settings_get(const struct settings *, const struct setting_row *);
 bool settings_from_env(struct settings *, char **environment,
                        const bool *from_flag, GError **);
+bool settings_take_peer_map(struct settings *, const char *, GError **);
 bool settings_finish(struct settings *, GError **);
 bool settings_parse_endpoint(const char *, uint16_t default_port,
                              struct settings_endpoint *);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -218,6 +218,11 @@
     };
     bool ok = false;
 
+    if (fleet->options->peer_map != NULL &&
+        !settings_take_peer_map(&fleet->mesh_settings,
+                                fleet->options->peer_map, error)) {
+        return false;
+    }
     fleet->mesh = mesh_new(&mesh, error);
     if (fleet->mesh == NULL || !fleet_metrics_start(fleet, error)) {
         return false;
@@ -255,6 +260,7 @@
     g_free(fleet->mesh_settings.name);
     g_free(fleet->mesh_settings.zone);
     g_free(fleet->mesh_settings.cluster);
+    g_free(fleet->mesh_settings.peer_map_text);
     fleet_log_free(fleet->log);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -72,6 +72,7 @@
     struct settings_endpoint readiness; /* entry */
     struct settings_endpoint calls;     /* control */
     const char *data_dir;               /* control; NULL for none */
+    const char *peer_map; /* other ways to peers, as --peer-map; or NULL */
     bool first_start;     /* the whole fleet starts for the first time */
     unsigned losses;      /* control daemons that may be lost at once */
     uint32_t announce_ms; /* between announcements of a target */
