Refuse some openings of an overloaded pool; replay load patterns in tests

Cause looked for: in the model at loads of 0.85 and 1.0 answers are late over the whole pool, since queues of 8 are full everywhere.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 CFLAGS   = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wstrict-prototypes \
            -Wmissing-prototypes -Wshadow -Wpointer-arith -D_GNU_SOURCE
 CXXFLAGS = -std=gnu++17 -O1 -g -Wall -Wextra -Werror
-CPPFLAGS = -Isrc -Iplatform $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+CPPFLAGS = -Isrc -Iplatform -Imodel $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 LDLIBS   = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -largtable2 \
            -lcrypto -lpthread -lm
 
@@ -84,7 +84,12 @@
 $(STANDINS): $(B)/%: $(B)/%.o $(STANDIN_LIB_OBJ) $(PLATFORM_AR) $(LIB)
 	$(CC) -o $@ $^ $(LDLIBS)
 
+# make model PATTERN=burst SEED=7 MORE="--size grown --plot build"
+MODEL     = $(B)/model/model
+MODEL_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard model/*.c))
+
 $(B)/tests/unit/test_platform: $(PLATFORM_LIB)
+$(B)/tests/unit/test_model: $(filter-out %/main.o,$(MODEL_OBJ))
 
 $(UNITS): $(B)/%: $(B)/%.o $(LIB)
 	$(CC) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS) -lcmocka
@@ -155,9 +160,6 @@
 	+$(MAKE) --no-print-directory all
 	@bash tools/demo.sh
 
-# make model PATTERN=burst SEED=7 MORE="--size grown --plot build"
-MODEL     = $(B)/model/model
-MODEL_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard model/*.c))
 PATTERN ?= all
 
 $(MODEL): $(MODEL_OBJ) $(LIB)
--- a/model/main.c
+++ b/model/main.c
@@ -35,11 +35,11 @@
     double asked = (double)(result->asked == 0 ? 1 : result->asked);
 
     printf("%-8s %-12s %7" G_GUINT64_FORMAT
-           " %6.3f %6.3f %6.3f %7.1f %7.1f %6.3f %6.3f %6.3f\n",
+           " %6.3f %6.3f %6.3f %7.3f %7.1f %7.1f %6.3f %6.3f %6.3f\n",
            pattern, label, result->asked, (double)result->in_goal / asked,
            (double)result->late / asked, (double)result->failed / asked,
-           result->p50_ms, result->p99_ms, result->worst_window,
-           result->worst_zone, result->remote);
+           (double)result->refused / asked, result->p50_ms, result->p99_ms,
+           result->worst_window, result->worst_zone, result->remote);
 }
 
 static void
@@ -114,9 +114,9 @@
     options.zones = size->zones;
     options.entries = size->entries;
     options.targets = size->targets;
-    printf("%-8s %-12s %7s %6s %6s %6s %7s %7s %6s %6s %6s\n", "pattern",
-           "way", "asked", "goal", "late", "failed", "p50ms", "p99ms",
-           "window", "zone", "remote");
+    printf("%-8s %-12s %7s %6s %6s %6s %7s %7s %7s %6s %6s %6s\n", "pattern",
+           "way", "asked", "goal", "late", "failed", "refused", "p50ms",
+           "p99ms", "window", "zone", "remote");
     for (const struct model_pattern *pattern = model_patterns;
          pattern->name != NULL; pattern++) {
         if (strcmp(wanted, "all") == 0 || strcmp(wanted, pattern->name) == 0) {
--- a/model/model.h
+++ b/model/model.h
@@ -55,6 +55,7 @@
     uint64_t in_goal;
     uint64_t late;
     uint64_t failed;
+    uint64_t refused; /* openings turned away, retries among them */
     double p50_ms;
     double p99_ms;
     double worst_window; /* share in goal */
--- a/model/model_place.c
+++ b/model/model_place.c
@@ -97,7 +97,7 @@
 
     affinity_core_packet(world->cores[flow->entry], world->now_us,
                          world->catalog, &packet, &verdict);
-    return verdict.target == NULL ? flow->target
+    return verdict.target == NULL ? MODEL_REFUSED
                                   : (unsigned)verdict.target->host - 1;
 }
 
@@ -119,8 +119,10 @@
 by_all_knowing(struct world *world, const struct flow *flow)
 {
     unsigned best = 0, best_cost = UINT_MAX;
+    unsigned first = g_rand_int(world->rand) % world->target_count;
 
-    for (unsigned i = 0; i < world->target_count; i++) {
+    for (unsigned n = 0; n < world->target_count; n++) {
+        unsigned i = (first + n) % world->target_count;
         const struct target *target = &world->targets[i];
         unsigned cost = load_of(target) * (target->slow ? 10 : 2) +
                         (target->zone != flow->zone ? 1 : 0);
--- a/model/model_run.c
+++ b/model/model_run.c
@@ -129,6 +129,12 @@
     }
     flow->copies++;
     flow->target = model_place(world, flow);
+    if (flow->target == MODEL_REFUSED) {
+        flow->target = 0;
+        world->result->refused++;
+        retry(world, flow);
+        return;
+    }
     target = &world->targets[flow->target];
     world->remote += target->zone != flow->zone && flow->copies == 1 ? 1 : 0;
     if (target->silent) {
@@ -338,6 +344,8 @@
 {
     struct catalog_command command = {.kind = CATALOG_REPLACE};
     struct catalog_route route = {.key = catalog_route_key(0xc6120001U, 443),
+                                  .goal_ms = GOAL_US / 1000,
+                                  .priority = 1,
                                   .split_count = 1};
     struct catalog_change change;
 
--- a/model/model_world.h
+++ b/model/model_world.h
@@ -4,24 +4,25 @@
 
 #include "model.h"
 
-#define SLOTS      2
-#define QUEUE_MAX  8     /* beyond it a target refuses */
-#define WORK_US    24000 /* mean of a request */
-#define WORK_MAX   6     /* times the mean */
-#define COLD_US    2000000
-#define COLD_TIMES 1.6
-#define SLOW_TIMES 5.0
-#define GOAL_US    130000
-#define LIMIT_US   1300000 /* of a request, retries included */
-#define COPY_US    200000  /* an opening without an answer is sent again */
-#define GIVE_UP_US 1400000 /* an opening without an answer has failed */
-#define RETRIES    2
-#define TRIP_US    6500   /* caller, entry daemon, target and back */
-#define REMOTE_US  2800   /* more for a target in another zone */
-#define THINK_US   400000 /* between the requests of a flow that lasts */
-#define REQUESTS   8      /* of a flow that lasts */
-#define LASTING    0.78   /* share of requests on such flows */
-#define STALE_US   500000
+#define SLOTS         2
+#define MODEL_REFUSED UINT_MAX /* by the entry daemon, at once */
+#define QUEUE_MAX     8        /* beyond it a target refuses */
+#define WORK_US       24000    /* mean of a request */
+#define WORK_MAX      6        /* times the mean */
+#define COLD_US       2000000
+#define COLD_TIMES    1.6
+#define SLOW_TIMES    5.0
+#define GOAL_US       130000
+#define LIMIT_US      1300000 /* of a request, retries included */
+#define COPY_US       200000  /* an opening without an answer is sent again */
+#define GIVE_UP_US    1400000 /* an opening without an answer has failed */
+#define RETRIES       2
+#define TRIP_US       6500   /* caller, entry daemon, target and back */
+#define REMOTE_US     2800   /* more for a target in another zone */
+#define THINK_US      400000 /* between the requests of a flow that lasts */
+#define REQUESTS      8      /* of a flow that lasts */
+#define LASTING       0.78   /* share of requests on such flows */
+#define STALE_US      500000
 
 enum event_kind {
     EVENT_ARRIVE,  /* a caller asks for the first time */
--- a/src/affinity/affinity.c
+++ b/src/affinity/affinity.c
@@ -175,10 +175,9 @@
     else if (flow != NULL) {
         affinity_flow_end(core, flow);
     }
-    verdict->target =
-        affinity_place(core, now_us, catalog, route, &verdict->candidates);
+    verdict->target = affinity_place(core, now_us, catalog, route, verdict);
     if (verdict->target == NULL) {
-        decide(verdict, AFFINITY_RESET, AFFINITY_NO_TARGET);
+        decide(verdict, AFFINITY_RESET, verdict->reason);
         return;
     }
     affinity_flow_open(core, now_us, packet, route, verdict->target->host);
--- a/src/affinity/affinity_place.c
+++ b/src/affinity/affinity_place.c
@@ -40,6 +40,10 @@
                              const struct place *, uint32_t *candidates);
 static double waiting_at(struct affinity_core *,
                          const struct catalog_target *);
+static const struct catalog_target *choose(struct affinity_core *,
+                                           const struct catalog *,
+                                           struct place *,
+                                           uint32_t *candidates);
 
 /* One of the route's pools, by weight. */
 static struct pool_id
@@ -174,41 +178,30 @@
 }
 
 /*
- * The target for a new flow of ROUTE, or NULL; CANDIDATES are counted.  Own
- * zone first, then others if the own one has none or only busy ones; targets
- * that are missing or do not answer only if there are no others.
+ * The best target for a new flow.  Own zone first, then others if the own one
+ * has none or only busy ones; targets that are missing or do not answer only
+ * if there are no others.
  */
-const struct catalog_target *
-affinity_place(struct affinity_core *core, uint64_t now_us,
-               const struct catalog *catalog,
-               const struct catalog_route *route, uint32_t *candidates)
+static const struct catalog_target *
+choose(struct affinity_core *core, const struct catalog *catalog,
+       struct place *place, uint32_t *candidates)
 {
-    struct place place = {
-        .now_us = now_us,
-        .pool = draw_pool(core, route),
-        .lasting = affinity_flow_lasts(core, route->key),
-        .local = true,
-    };
     struct choice local, remote;
 
-    *candidates = 0;
-    place.typical_us = typical_answer(core, catalog, place.pool);
     for (int any = 0; any <= 1; any++) {
-        place.any = any == 1;
-        place.local = true;
-        local = best_of(core, catalog, &place, candidates);
+        place->any = any == 1;
+        place->local = true;
+        local = best_of(core, catalog, place, candidates);
         if (local.target != NULL &&
             waiting_at(core, local.target) < REMOTE_BUSY) {
             return local.target;
         }
-        place.local = false;
-        remote = best_of(core, catalog, &place, candidates);
-        if (local.target == NULL && remote.target != NULL) {
-            return remote.target;
-        }
+        place->local = false;
+        remote = best_of(core, catalog, place, candidates);
         if (remote.target != NULL &&
-            waiting_at(core, remote.target) + REMOTE_BUSY <
-                waiting_at(core, local.target)) {
+            (local.target == NULL ||
+             waiting_at(core, remote.target) + REMOTE_BUSY <
+                 waiting_at(core, local.target))) {
             return remote.target;
         }
         if (local.target != NULL) {
@@ -217,3 +210,31 @@
     }
     return NULL;
 }
+
+/*
+ * The target for a new flow of ROUTE, or NULL with the reason in VERDICT,
+ * which also tells how many candidates there were.
+ */
+const struct catalog_target *
+affinity_place(struct affinity_core *core, uint64_t now_us,
+               const struct catalog *catalog,
+               const struct catalog_route *route,
+               struct affinity_verdict *verdict)
+{
+    struct place place = {
+        .now_us = now_us,
+        .pool = draw_pool(core, route),
+        .lasting = affinity_flow_lasts(core, route->key),
+    };
+    const struct catalog_target *target;
+
+    place.typical_us = typical_answer(core, catalog, place.pool);
+    target = choose(core, catalog, &place, &verdict->candidates);
+    verdict->reason = AFFINITY_NO_TARGET;
+    if (target != NULL && !affinity_admit(core, route, place.typical_us,
+                                          waiting_at(core, target))) {
+        verdict->reason = AFFINITY_OVERLOAD;
+        return NULL;
+    }
+    return target;
+}
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -90,9 +90,13 @@
                          uint64_t idle_us);
 bool affinity_flow_lasts(struct affinity_core *, uint64_t route);
 
+/* affinity_admit.c: whether a new flow is taken */
+bool affinity_admit(struct affinity_core *, const struct catalog_route *,
+                    uint64_t typical_us, double waiting);
+
 /* affinity_place.c: the choice of a target */
 const struct catalog_target *
 affinity_place(struct affinity_core *, uint64_t now_us, const struct catalog *,
-               const struct catalog_route *, uint32_t *candidates);
+               const struct catalog_route *, struct affinity_verdict *);
 
 #endif
--- a/tests/unit/catalog_script.h
+++ b/tests/unit/catalog_script.h
@@ -41,6 +41,8 @@
         memset(&route, 0, sizeof(route));
         route.key = catalog_route_key(ROUTE_ADDRESS, (uint16_t)(i + 1));
         route.timeout_ms = 1000;
+        route.goal_ms = 100;
+        route.priority = 1;
         route.split_count = 1;
         route.splits[0].pool = view_pool_id(pool);
         route.splits[0].weight = 1;
--- a/tests/unit/test_affinity.c
+++ b/tests/unit/test_affinity.c
@@ -21,6 +21,7 @@
 
 static void test_cookie_names_target(void **);
 static void test_copy_goes_to_the_same(void **);
+static void test_overload(void **);
 static void test_openings_after_a_pause(void **);
 static void test_lost_answers(void **);
 static void test_silent_target_is_passed_over(void **);
@@ -114,6 +115,39 @@
     end(&world);
 }
 
+/*
+ * All answers of a pool come after its objective and requests wait for every
+ * slot: some openings are refused at once.  With a free slot none is.
+ */
+static void
+test_overload(void **state)
+{
+    struct world world = begin(1);
+    unsigned refused = 0;
+
+    (void)state;
+    for (uint16_t caller = 1; caller <= 20; caller++) { /* 300 ms each */
+        uint32_t cookie;
+
+        packet(&world, caller, AFFINITY_SYN, 0, 0, 0);
+        assert_int_equal(world.verdict.action, AFFINITY_FORWARD);
+        cookie = world.verdict.target->cookie;
+        packet(&world, caller, AFFINITY_ACK, cookie, 1, 20);
+        world.now_us += 300000;
+        packet(&world, caller, AFFINITY_ACK, cookie, 50, 0);
+        packet(&world, caller, AFFINITY_FIN, cookie, 50, 0);
+    }
+    for (uint16_t caller = 100; caller < 140; caller++) {
+        packet(&world, caller, AFFINITY_SYN, 0, 0, 0);
+        if (world.verdict.action == AFFINITY_RESET) {
+            assert_int_equal(world.verdict.reason, AFFINITY_OVERLOAD);
+            refused++;
+        }
+    }
+    assert_in_range(refused, 10, 25);
+    end(&world);
+}
+
 /* Openings that were held while the daemon stood still are left to copies. */
 static void
 test_openings_after_a_pause(void **state)
@@ -325,6 +359,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_cookie_names_target),
         cmocka_unit_test(test_copy_goes_to_the_same),
+        cmocka_unit_test(test_overload),
         cmocka_unit_test(test_openings_after_a_pause),
         cmocka_unit_test(test_lost_answers),
         cmocka_unit_test(test_silent_target_is_passed_over),
