Write the notes on the fleet; histograms; keep the fabric stand-in alive

Change: the signal is ignored, and a run whose stand-in ends says so; each run has a folder of its own.

Logs of other modules come as JSON lines, too; answers and calls have latency histograms on the metrics address.

--- a/src/affinity/affinity.h
+++ b/src/affinity/affinity.h
@@ -10,6 +10,7 @@
 #ifndef PS_AFFINITY_AFFINITY_H
 #define PS_AFFINITY_AFFINITY_H
 
+#include "base/counter.h"
 #include "catalog/catalog.h"
 
 enum affinity_flag {
@@ -82,6 +83,7 @@
     uint64_t remote;    /* openings placed in another zone */
     uint64_t suspected; /* targets that stopped answering openings */
     uint64_t untracked; /* openings above flows_max */
+    uint64_t answers[COUNTER_BUCKETS]; /* from a request to its answer */
 };
 
 struct affinity_core;
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -136,3 +136,44 @@
                                extra[i].value);
     }
 }
+
+/* Count a latency of TOOK_US; the last bucket holds all that are longer. */
+void
+counter_latency(uint64_t buckets[COUNTER_BUCKETS], uint64_t took_us)
+{
+    uint64_t ms = took_us / 1000;
+    size_t bucket = 0;
+
+    while (ms > 0 && bucket + 1 < COUNTER_BUCKETS) {
+        ms /= 2;
+        bucket++;
+    }
+    buckets[bucket]++;
+}
+
+/* Append a histogram as Prometheus has it: counts up to each bound. */
+void
+counter_write_latency(const char *name, const char *help,
+                      const uint64_t buckets[COUNTER_BUCKETS], GString *out)
+{
+    uint64_t total = 0;
+
+    g_string_append_printf(out,
+                           "# HELP parsleyspur_%s %s\n"
+                           "# TYPE parsleyspur_%s histogram\n",
+                           name, help, name);
+    for (size_t i = 0; i < COUNTER_BUCKETS; i++) {
+        total += buckets[i];
+        if (i + 1 < COUNTER_BUCKETS) {
+            g_string_append_printf(
+                out,
+                "parsleyspur_%s_bucket{le=\"%u\"} %" G_GUINT64_FORMAT "\n",
+                name, 1U << i, total);
+        }
+    }
+    g_string_append_printf(
+        out,
+        "parsleyspur_%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
+        "\nparsleyspur_%s_count %" G_GUINT64_FORMAT "\n",
+        name, total, name, total);
+}
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -57,7 +57,14 @@
     double value;
 };
 
+/* Latencies by powers of two: bucket N counts those below 2^N ms. */
+#define COUNTER_BUCKETS 16
+
 void counter_add(struct counters *, enum counter_id, uint64_t);
+void counter_latency(uint64_t buckets[COUNTER_BUCKETS], uint64_t took_us);
+void counter_write_latency(const char *name, const char *help,
+                           const uint64_t buckets[COUNTER_BUCKETS],
+                           GString *out);
 void counter_write(const struct counters *, GString *out);
 void counter_write_extra(const struct counter_extra *, size_t, GString *out);
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -188,6 +188,7 @@
     fleet->options = options;
     fleet->zone = view_zone_id(options->zone);
     fleet->log = fleet_log_new(&log);
+    fleet_log_take_glib(fleet->log, fleet_now_us);
     fleet->catalog = catalog_new();
     fleet->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     fleet->mesh_settings.name = view_address_text(options->address);
--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -577,13 +577,6 @@
     };
 
     counter_write_extra(extra, G_N_ELEMENTS(extra), out);
-    for (size_t i = 0; i < G_N_ELEMENTS(control->latency_us); i++) {
-        char *name =
-            g_strdup_printf("call_latency_total{below_ms=\"%u\"}", 1U << i);
-        struct counter_extra row = {name, "Answered calls by latency.",
-                                    "counter", (double)control->latency_us[i]};
-
-        counter_write_extra(&row, 1, out);
-        g_free(name);
-    }
+    counter_write_latency("call_latency_ms", "Answered calls.",
+                          control->latency, out);
 }
--- a/src/fleet/fleet_control_private.h
+++ b/src/fleet/fleet_control_private.h
@@ -59,8 +59,8 @@
     uint64_t heard_us; /* when to tell next */
 
     uint64_t calls[FLEET_CALL__MAX];
-    uint64_t unavailable;    /* calls that found no majority in time */
-    uint64_t latency_us[16]; /* answered calls, by powers of two of 1 ms */
+    uint64_t unavailable; /* calls that found no majority in time */
+    uint64_t latency[COUNTER_BUCKETS]; /* of answered calls */
 };
 
 /* fleet_control.c */
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -380,11 +380,22 @@
          (double)counters->remote},
         {"targets_suspected_total", "Targets that stopped answering.",
          "counter", (double)counters->suspected},
+        {"shaped_packets_total", "Packets that waited for the link.",
+         "counter", (double)shape_counters(entry->shape)->queued},
+        {"shaped_copies_total", "Copies left out of what waits.", "counter",
+         (double)shape_counters(entry->shape)->repeated},
+        {"shaped_drops_total", "Packets above the queue's bound.", "counter",
+         (double)shape_counters(entry->shape)->dropped},
+        {"shaped_wait_max_ms", "Longest wait for the link.", "gauge",
+         (double)shape_counters(entry->shape)->wait_us / 1000},
         {"ready", "Whether the fabric may send packets.", "gauge",
          is_ready(fleet) ? 1 : 0},
     };
 
     counter_write_extra(extra, G_N_ELEMENTS(extra), out);
+    counter_write_latency("answer_latency_ms",
+                          "From a caller's request to its answer.",
+                          counters->answers, out);
     for (int i = 0; i < AFFINITY_REASON__MAX; i++) {
         char *name = g_strdup_printf("verdicts_total{reason=\"%s\"}",
                                      affinity_reason_name(i));
--- a/src/fleet/fleet_log.c
+++ b/src/fleet/fleet_log.c
@@ -21,11 +21,14 @@
     double tokens;
     uint64_t filled_us; /* when tokens were last added */
     uint64_t left_out;
-    uint64_t told; /* of left_out, in a line */
+    uint64_t told;            /* of left_out, in a line */
+    uint64_t (*now_us)(void); /* for lines of other modules */
 };
 
 static bool may_write(struct fleet_log *, enum fleet_log_weight, uint64_t);
 static void append(struct fleet_log *, const char *event, const char *members);
+static GLogWriterOutput write_glib(GLogLevelFlags, const GLogField *, gsize,
+                                   gpointer);
 
 /* A log on OPTIONS->fd, which stays open when the log is freed. */
 struct fleet_log *
@@ -146,6 +149,43 @@
     }
 }
 
+/* GLib's writer: the message, then the members that modules add as PS_X. */
+static GLogWriterOutput
+write_glib(GLogLevelFlags level, const GLogField *fields, gsize count,
+           gpointer user)
+{
+    struct fleet_log *log = user;
+    GString *members = g_string_new("\"text\":\"");
+
+    (void)level;
+    for (gsize i = 0; i < count; i++) {
+        bool text = strcmp(fields[i].key, "MESSAGE") == 0;
+        char *value;
+
+        if (!text && !g_str_has_prefix(fields[i].key, "PS_")) {
+            continue;
+        }
+        value = g_strescape(fields[i].value, NULL);
+        g_string_append_printf(members, "%s%s%s", text ? "" : " ",
+                               text ? "" : fields[i].key + strlen("PS_"),
+                               text ? "" : "=");
+        g_string_append(members, value);
+        g_free(value);
+    }
+    g_string_append_c(members, '"');
+    fleet_log_line(log, FLEET_LOG_STATE, log->now_us(), "message", "%s",
+                   members->str);
+    g_string_free(members, TRUE);
+    return G_LOG_WRITER_HANDLED;
+}
+
+void
+fleet_log_take_glib(struct fleet_log *log, uint64_t (*now_us)(void))
+{
+    log->now_us = now_us;
+    g_log_set_writer_func(write_glib, log, NULL);
+}
+
 /* Lines that were left out so far. */
 uint64_t
 fleet_log_left_out(const struct fleet_log *log)
--- a/src/fleet/fleet_log.h
+++ b/src/fleet/fleet_log.h
@@ -33,6 +33,8 @@
                     const char *event, const char *format, ...)
     G_GNUC_PRINTF(5, 6);
 void fleet_log_flush(struct fleet_log *);
+/* Take over what other modules write by GLib's structured log. */
+void fleet_log_take_glib(struct fleet_log *, uint64_t (*now_us)(void));
 uint64_t fleet_log_left_out(const struct fleet_log *);
 
 #endif
--- a/src/fleet/fleet_request.c
+++ b/src/fleet/fleet_request.c
@@ -14,7 +14,6 @@
 static void answer_peer(struct fleet *, const struct fleet_request *, bool ok);
 static void answer_read(struct fleet *, const struct fleet_request *);
 static void ask_leader(struct fleet *, Parsleyspur__FleetMessage *);
-static void note_latency(struct fleet *, const struct fleet_request *);
 
 static struct fleet_request *
 request_new(struct fleet *fleet, const struct fleet_waiter *waiter,
@@ -30,21 +29,6 @@
     return request;
 }
 
-/* Count the answer's latency: bucket N holds those below 2^N ms. */
-static void
-note_latency(struct fleet *fleet, const struct fleet_request *request)
-{
-    uint64_t took_ms = (fleet_now_us() - request->begun_us) / 1000;
-    size_t bucket = 0;
-
-    while (took_ms > 0 &&
-           bucket + 1 < G_N_ELEMENTS(fleet->control->latency_us)) {
-        took_ms /= 2;
-        bucket++;
-    }
-    fleet->control->latency_us[bucket]++;
-}
-
 static void
 answer_peer(struct fleet *fleet, const struct fleet_request *request, bool ok)
 {
@@ -82,7 +66,8 @@
     const struct fleet_waiter *waiter = &request->waiter;
 
     fleet->control->unavailable += ok ? 0 : 1;
-    note_latency(fleet, request);
+    counter_latency(fleet->control->latency,
+                    fleet_elapsed_us(fleet_now_us(), request->begun_us));
     if (waiter->kind != FLEET_WAITER_NONE) {
         fleet_log_line(
             fleet->log, FLEET_LOG_REQUEST, fleet_now_us(), "call-done",
--- a/tests/soak/fleet_soak.py
+++ b/tests/soak/fleet_soak.py
@@ -10,7 +10,7 @@
 hosts and callers see is checked by the stand-in `cookie_side`, what operators
 see is checked here.  The same seed draws the same schedule, which is printed.
 
-Exit status 0 if every promise held.  Logs stay in build/soak/SEED.
+Exit status 0 if every promise held.  Logs stay in build/soak/SEED-PID.
 """
 import argparse
 import fcntl
@@ -70,7 +70,7 @@
 
     def __init__(self, arguments):
         self.block, self.lock = take_block()
-        self.folder = ROOT / f"build/soak/{arguments.seed}"
+        self.folder = ROOT / f"build/soak/{arguments.seed}-{os.getpid()}"
         shutil.rmtree(self.folder, ignore_errors=True)
         self.folder.mkdir(parents=True)
         self.controls = [f"control-{n + 1}" for n in range(arguments.controls)]
@@ -177,7 +177,14 @@
             self.start(name, first=True)
 
     def look(self):
-        """Note daemons that ended without being told to, and start them."""
+        """Note daemons that ended without being told to, and start them.
+
+        A stand-in that ends makes the run worthless.
+        """
+        for name in ("fabric", "side"):
+            status = self.processes[name].poll()
+            if status is not None:
+                raise SystemExit(f"broken: stand-in {name} ended: {status}")
         for name in self.names:
             process = self.processes[name]
             if process.poll() is not None and name not in self.down:
--- a/tests/stand-ins/fabric.c
+++ b/tests/stand-ins/fabric.c
@@ -10,6 +10,7 @@
  * Callers and targets send to --up; daemons send what is for callers to
  * --down.  Each --way opens both directions between two daemons.
  */
+#include <signal.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
@@ -304,6 +305,7 @@
     struct fabric fabric;
     struct control *control;
 
+    signal(SIGPIPE, SIG_IGN); /* a daemon may be gone when a cut heals */
     options_parse(argc, argv, &options);
     memset(&fabric, 0, sizeof(fabric));
     fabric.path.loop = loop;
