--- a/model/model_run.c
+++ b/model/model_run.c
@@ -138,13 +138,13 @@
     target = &world->targets[flow->target];
     world->remote += target->zone != flow->zone && flow->copies == 1 ? 1 : 0;
     if (target->silent) {
-        if (world->now_us + COPY_US * flow->copies >
+        if (world->now_us + (uint64_t)COPY_US * flow->copies >
             flow->opened_us + GIVE_UP_US) {
             retry(world, flow);
         }
         else {
-            push(world, world->now_us + COPY_US * flow->copies, EVENT_OPEN,
-                 flow, 0);
+            push(world, world->now_us + (uint64_t)COPY_US * flow->copies,
+                 EVENT_OPEN, flow, 0);
         }
         return;
     }
@@ -273,7 +273,7 @@
 
     for (unsigned i = 0; i < world->target_count; i++) {
         struct target *target = &world->targets[i];
-        double place = (i % per_zone + 0.5) / per_zone;
+        double place = ((double)(i % per_zone) + 0.5) / per_zone;
 
         target->slow = place < pattern->slow && world->now_us >= 6000000 &&
                        world->now_us < 12000000;
@@ -308,6 +308,18 @@
     return x < y ? -1 : x > y;
 }
 
+/* The latency, in ms, that PERCENT of the sorted LATENCIES are within. */
+static double
+percentile_ms(const GArray *latencies, guint64 percent)
+{
+    guint at = (guint)(latencies->len * percent / 100);
+
+    if (latencies->len == 0) {
+        return 0;
+    }
+    return (double)g_array_index(latencies, uint64_t, at) / 1000;
+}
+
 static void
 sum_up(struct world *world)
 {
@@ -315,14 +327,8 @@
     GArray *latencies = world->latencies;
 
     g_array_sort(latencies, compare_latencies);
-    if (latencies->len > 0) {
-        result->p50_ms =
-            (double)g_array_index(latencies, uint64_t, latencies->len / 2) /
-            1000;
-        result->p99_ms = (double)g_array_index(latencies, uint64_t,
-                                               latencies->len * 99ULL / 100) /
-                         1000;
-    }
+    result->p50_ms = percentile_ms(latencies, 50);
+    result->p99_ms = percentile_ms(latencies, 99);
     result->worst_window = 1;
     result->worst_zone = 1;
     result->window_count = world->options.seconds / 2;
--- a/tests/stand-ins/lib_cookie_packet.c
+++ b/tests/stand-ins/lib_cookie_packet.c
@@ -337,7 +337,7 @@
         }
         else if (!flow->open) {
             caller_send(side, flow, AFFINITY_SYN, "");
-            flow->due_ms = now_ms + 2 * RESEND_MS;
+            flow->due_ms = now_ms + UINT64_C(2) * RESEND_MS;
         }
         else if (!flow->waiting) {
             side->counts.asked++;
--- a/tests/unit/test_shape.c
+++ b/tests/unit/test_shape.c
@@ -47,7 +47,7 @@
     unsigned left = 2 * WINDOW;
 
     (void)state;
-    for (uint64_t key = 1; key <= 2 * WINDOW; key++) {
+    for (uint64_t key = 1; key <= UINT64_C(2) * WINDOW; key++) {
         assert_true(put(shape, now_us, key, FULL));
     }
     while (left > 0) {
