--- a/tests/unit/quorum_cluster.h
+++ b/tests/unit/quorum_cluster.h
@@ -306,7 +306,7 @@
     for (size_t i = 0; i < VOTERS; i++) {
         stop(cluster, i, true);
     }
-    disk->hard = (struct quorum_hard){term, {0}, 7, true};
+    disk->hard = (struct quorum_hard){term, {0}, 7, true, 0};
     for (uint64_t i = 1; i <= entries; i++) {
         g_ptr_array_add(disk->entries,
                         quorum_entry_new(i, 1, QUORUM_ENTRY_NOOP));
--- a/tests/unit/storage_script.h
+++ b/tests/unit/storage_script.h
@@ -222,7 +222,7 @@
             if (i % 6 == 0) {
                 records[count].kind = QUORUM_RECORD_HARD;
                 records[count].u.hard =
-                    (struct quorum_hard){1 + i / 6, {i % 3}, 77, i > 6};
+                    (struct quorum_hard){1 + i / 6, {i % 3}, 77, i > 6, 0};
                 count++;
                 index -= i == 12 ? 2 : 0; /* the new term's come instead */
             }
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -224,6 +224,42 @@
     close_cluster(&cluster);
 }
 
+/*
+ * All were stopped: each knows at its start what was committed, but for what
+ * was committed last, before any leader is heard.
+ */
+static void
+test_committed_is_known_at_the_start(void **state)
+{
+    struct cluster cluster;
+    size_t leader;
+    uint64_t before;
+
+    (void)state;
+    open_cluster(&cluster, 0);
+    leader = wait_for_leader(&cluster);
+    pass(&cluster, SECOND);
+    for (int i = 0; i < 5; i++) {
+        propose(&cluster, leader, 8);
+        pass(&cluster, SECOND);
+    }
+    before = cluster.voters[leader].applied;
+    for (size_t i = 0; i < VOTERS; i++) {
+        stop(&cluster, i, false);
+    }
+    for (size_t i = 0; i < VOTERS; i++) {
+        start(&cluster, i);
+    }
+    pass(&cluster, TICK_US);
+    for (size_t i = 0; i < VOTERS; i++) {
+        const struct voter *voter = &cluster.voters[i];
+
+        assert_int_equal(quorum_core_leader(voter->core).value, 0);
+        assert_in_range(voter->applied, before - 1, before);
+    }
+    close_cluster(&cluster);
+}
+
 int
 main(void)
 {
@@ -235,6 +271,7 @@
         cmocka_unit_test(test_repaired_then_second_lost),
         cmocka_unit_test(test_majority_lost),
         cmocka_unit_test(test_snapshot_pieces),
+        cmocka_unit_test(test_committed_is_known_at_the_start),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
