--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -11,8 +11,9 @@
 #define CURRENT_US    1500000U /* a control daemon's lag that is no lag */
 #define SEARCH_US     100000U  /* between greetings until there is a catalog */
 #define STALE_WAIT_US 300000U  /* for a current control daemon, at the start */
-#define FORWARD_MS    2500U    /* packets still come after a planned stop */
-#define STOP_SPARE_MS 1500U    /* kept of the time before a stop is enforced */
+#define STOP_MIN_US   1200000U /* the fabric asks twice before it moves flows */
+#define STOP_QUIET_US 700000U /* without a packet: the fabric has moved them */
+#define STOP_SPARE_MS 1500U   /* kept of the time before a stop is enforced */
 
 static void on_call(void *, const struct http_request *);
 static bool is_ready(const struct fleet *);
@@ -27,6 +28,7 @@
 static void take_update(struct fleet *, const struct fleet_peer *,
                         const ProtobufCBinaryData *);
 static void log_connection(struct fleet *, uint64_t now_us);
+static void advance_stop(struct fleet *, uint64_t now_us);
 
 /* Start the role: packets, readiness, and the search for control daemons. */
 bool
@@ -289,6 +291,7 @@
     }
     consider_ready(fleet, now_us);
     log_connection(fleet, now_us);
+    advance_stop(fleet, now_us);
     affinity_core_tick(entry->affinity, now_us, fleet->catalog);
 }
 
@@ -344,7 +347,10 @@
     consider_ready(fleet, now_us);
 }
 
-/* Packets go on for as long as the fabric may send some. */
+/*
+ * Packets go on for as long as the fabric sends some: where most of a zone's
+ * daemons stop at once, it goes on sending to all of them.
+ */
 void
 fleet_entry_begin_stop(struct fleet *fleet)
 {
@@ -352,8 +358,21 @@
     uint32_t limit_ms =
         grace_ms > STOP_SPARE_MS ? grace_ms - STOP_SPARE_MS : grace_ms / 2;
 
-    fleet->stop_us =
-        fleet_now_us() + (uint64_t)MIN(FORWARD_MS, limit_ms) * 1000;
+    fleet->entry->stop_begun_us = fleet_now_us();
+    fleet->stop_us = fleet->entry->stop_begun_us + (uint64_t)limit_ms * 1000;
+}
+
+/* End a planned stop early, once no packets come any more. */
+static void
+advance_stop(struct fleet *fleet, uint64_t now_us)
+{
+    const struct fleet_entry *entry = fleet->entry;
+
+    if (fleet->stopping &&
+        fleet_elapsed_us(now_us, entry->stop_begun_us) >= STOP_MIN_US &&
+        fleet_elapsed_us(now_us, entry->packet_us) >= STOP_QUIET_US) {
+        fleet->stop_us = MIN(fleet->stop_us, now_us);
+    }
 }
 
 /* Append the role's metrics. */
--- a/src/fleet/fleet_entry_private.h
+++ b/src/fleet/fleet_entry_private.h
@@ -22,8 +22,10 @@
     struct packet_batch batch;
     uint8_t output[PACKET_BATCH_MAX][FLEET_PACKET_MAX];
     uint8_t encoded[FLEET_PACKET_MAX];
-    struct shape *shape; /* packets that wait for the link */
-    uv_timer_t drain;    /* runs while packets wait */
+    struct shape *shape;    /* packets that wait for the link */
+    uv_timer_t drain;       /* runs while packets wait */
+    uint64_t packet_us;     /* when the last packet came */
+    uint64_t stop_begun_us; /* when a planned stop began */
     uint64_t packets_in;
     uint64_t packets_out;
     uint64_t malformed;
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -207,6 +207,7 @@
     uint64_t now_us = fleet_now_us();
 
     entry->packets_in++;
+    entry->packet_us = now_us;
     if (len > FLEET_PACKET_MAX - FLEET_ENVELOPE_MAX ||
         !edge->decode(data, len, &packet)) {
         entry->malformed++;
