Carry 300 machines: shared differences, kept indexes, a connection a call

Each difference of the catalog was packed anew for each of 290 entry daemons, each announcement sorted and searched all targets, and each call left its connection open for 30 s. Change: differences are packed once for all that hold the same revision; the catalog's indexes are kept, not made anew; control daemons close a connection after its call; searching entry daemons wait longer and longer.

--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -7,8 +7,12 @@
 #include "catalog/catalog_state.h"
 
 static gint by_host(gconstpointer, gconstpointer);
-static gint by_revision(gconstpointer, gconstpointer);
-static void index_cookies(struct catalog *);
+static guint place_of(const struct catalog *, uint64_t host);
+static uint64_t address_key(uint32_t address, uint16_t port);
+static bool goes_before(const struct catalog_target *,
+                        const struct catalog_target *);
+static void index_target(struct catalog *, struct catalog_target *);
+static void unindex(struct catalog *, const struct catalog_target *);
 
 /* An empty catalog at revision 0. */
 struct catalog *
@@ -23,6 +27,8 @@
     catalog->targets =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     catalog->cookies = g_hash_table_new(NULL, NULL);
+    catalog->addresses =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     catalog->sorted = g_ptr_array_new();
     return catalog;
 }
@@ -41,6 +47,7 @@
     g_hash_table_destroy(catalog->routes);
     g_hash_table_destroy(catalog->targets);
     g_hash_table_destroy(catalog->cookies);
+    g_hash_table_destroy(catalog->addresses);
     g_ptr_array_unref(catalog->sorted);
     g_free(catalog);
 }
@@ -81,15 +88,51 @@
     g_hash_table_replace(catalog->routes, &own->key, own);
 }
 
-/* Set a target's row; catalog_index() must follow. */
+/* The place of HOST in the sorted targets, or where it would stand. */
+static guint
+place_of(const struct catalog *catalog, uint64_t host)
+{
+    guint low = 0, high = catalog->sorted->len;
+
+    while (low < high) {
+        guint middle = low + (high - low) / 2;
+        const struct catalog_target *target = catalog->sorted->pdata[middle];
+
+        if (target->host < host) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+/* Set a target's row and bring the indexes up to date. */
 void
 catalog_put_target(struct catalog *catalog,
                    const struct catalog_target *target)
 {
-    struct catalog_target *own = g_memdup2(target, sizeof(*target));
-
+    struct catalog_target *own =
+        g_hash_table_lookup(catalog->targets, &target->host);
+
+    if (own == NULL) {
+        own = g_new0(struct catalog_target, 1);
+        own->host = target->host;
+        g_hash_table_insert(catalog->targets, &own->host, own);
+        g_ptr_array_insert(catalog->sorted, (gint)place_of(catalog, own->host),
+                           own);
+    }
+    else {
+        unindex(catalog, own);
+    }
+    *own = *target;
     own->cookie = catalog_cookie(own->host);
-    g_hash_table_replace(catalog->targets, &own->host, own);
+    own->cookie_clashes = false;
+    index_target(catalog, own);
+    if (own->state == CATALOG_GONE && catalog->clashes > 0) {
+        catalog_index(catalog);
+    }
 }
 
 void
@@ -108,39 +151,68 @@
     return x->host < y->host ? -1 : x->host > y->host;
 }
 
-/* Oldest first, so that among equal cookies the earlier target keeps it. */
-static gint
-by_revision(gconstpointer a, gconstpointer b)
+/* A key for where TARGET is reached. */
+static uint64_t
+address_key(uint32_t address, uint16_t port)
 {
-    const struct catalog_target *x = *(struct catalog_target *const *)a;
-    const struct catalog_target *y = *(struct catalog_target *const *)b;
+    return (uint64_t)address << 16 | port;
+}
 
-    return x->revision < y->revision ? -1 : x->revision > y->revision;
+/* True if A keeps a cookie that both have: it was born first. */
+static bool
+goes_before(const struct catalog_target *a, const struct catalog_target *b)
+{
+    if ((a->state == CATALOG_GONE) != (b->state == CATALOG_GONE)) {
+        return b->state == CATALOG_GONE;
+    }
+    return a->born != b->born ? a->born < b->born : a->host < b->host;
 }
 
 /*
- * Cookies of targets that are gone are found too, but give way to living
- * ones.  Where two living targets have one cookie, the later gets no flows.
+ * Enter TARGET into the indexes.  Cookies of targets that are gone are found
+ * too, but give way to living ones.  Where two living targets have one cookie,
+ * the one that was born later gets no flows; all daemons see that alike.
  */
 static void
-index_cookies(struct catalog *catalog)
+index_target(struct catalog *catalog, struct catalog_target *target)
 {
-    g_hash_table_remove_all(catalog->cookies);
-    for (guint i = 0; i < catalog->sorted->len; i++) {
-        struct catalog_target *target = catalog->sorted->pdata[i];
-        gpointer key = GUINT_TO_POINTER(target->cookie);
-        struct catalog_target *holder =
-            g_hash_table_lookup(catalog->cookies, key);
-
-        target->cookie_clashes =
-            holder != NULL && holder->state != CATALOG_GONE;
-        if (!target->cookie_clashes) {
-            g_hash_table_insert(catalog->cookies, key, target);
+    gpointer cookie = GUINT_TO_POINTER(target->cookie);
+    struct catalog_target *holder =
+        g_hash_table_lookup(catalog->cookies, cookie);
+
+    if (target->state != CATALOG_GONE) {
+        uint64_t key = address_key(target->address, target->port);
+
+        g_hash_table_insert(catalog->addresses, g_memdup2(&key, sizeof(key)),
+                            target);
+    }
+    if (holder == NULL || holder == target || goes_before(target, holder)) {
+        g_hash_table_insert(catalog->cookies, cookie, target);
+        if (holder != NULL && holder != target &&
+            holder->state != CATALOG_GONE) {
+            holder->cookie_clashes = true;
+            catalog->clashes++;
         }
     }
+    else if (target->state != CATALOG_GONE) {
+        target->cookie_clashes = true;
+        catalog->clashes++;
+    }
+}
+
+/* Take TARGET, whose row is about to change, out of the indexes. */
+static void
+unindex(struct catalog *catalog, const struct catalog_target *target)
+{
+    uint64_t key = address_key(target->address, target->port);
+
+    if (g_hash_table_lookup(catalog->addresses, &key) == target) {
+        g_hash_table_remove(catalog->addresses, &key);
+    }
+    catalog->clashes -= target->cookie_clashes ? 1 : 0;
 }
 
-/* Bring the indexes up to date after targets have changed. */
+/* Make the indexes anew, after rows were dropped. */
 void
 catalog_index(struct catalog *catalog)
 {
@@ -148,13 +220,30 @@
     gpointer key, value;
 
     g_ptr_array_set_size(catalog->sorted, 0);
+    g_hash_table_remove_all(catalog->cookies);
+    g_hash_table_remove_all(catalog->addresses);
+    catalog->clashes = 0;
     g_hash_table_iter_init(&iter, catalog->targets);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         g_ptr_array_add(catalog->sorted, value);
     }
-    g_ptr_array_sort(catalog->sorted, by_revision);
-    index_cookies(catalog);
     g_ptr_array_sort(catalog->sorted, by_host);
+    for (guint i = 0; i < catalog->sorted->len; i++) {
+        struct catalog_target *target = catalog->sorted->pdata[i];
+
+        target->cookie_clashes = false;
+        index_target(catalog, target);
+    }
+}
+
+/* The living target at an address, or NULL. */
+const struct catalog_target *
+catalog_at_address(const struct catalog *catalog, uint32_t address,
+                   uint16_t port)
+{
+    uint64_t key = address_key(address, port);
+
+    return g_hash_table_lookup(catalog->addresses, &key);
 }
 
 uint64_t
--- a/src/catalog/catalog_apply.c
+++ b/src/catalog/catalog_apply.c
@@ -16,8 +16,6 @@
 static bool note_presence(struct catalog *, uint64_t index,
                           const struct catalog_target *);
 static bool is_late(const struct catalog *, const struct catalog_target *);
-static const struct catalog_target *at_address(const struct catalog *,
-                                               uint32_t, uint16_t);
 static void forget_removed(struct catalog *);
 
 /*
@@ -60,9 +58,6 @@
         break;
     }
     catalog->revision = index;
-    if (change->targets) {
-        catalog_index(catalog);
-    }
     if (change->targets || change->tables) {
         catalog->changed = index;
         forget_removed(catalog);
@@ -157,21 +152,6 @@
     return true;
 }
 
-/* The living target at an address, or NULL. */
-static const struct catalog_target *
-at_address(const struct catalog *catalog, uint32_t address, uint16_t port)
-{
-    for (guint i = 0; i < catalog->sorted->len; i++) {
-        const struct catalog_target *target = catalog->sorted->pdata[i];
-
-        if (target->state != CATALOG_GONE && target->address == address &&
-            target->port == port) {
-            return target;
-        }
-    }
-    return NULL;
-}
-
 /*
  * True if TARGET, an announcement, is older than what is known: of an earlier
  * incarnation, out of order, after the end of its incarnation, or of a host
@@ -183,7 +163,7 @@
     const struct catalog_target *held =
         catalog_find_target(catalog, target->host);
     const struct catalog_target *other =
-        at_address(catalog, target->address, target->port);
+        catalog_at_address(catalog, target->address, target->port);
 
     if (held != NULL && target->born < held->born) {
         return true;
@@ -225,7 +205,7 @@
     if (!catalog_announce_is_new(catalog, target)) {
         return false;
     }
-    other = at_address(catalog, target->address, target->port);
+    other = catalog_at_address(catalog, target->address, target->port);
     if (other != NULL && other->host != target->host) {
         struct catalog_target gone = *other;
 
--- a/src/catalog/catalog_state.h
+++ b/src/catalog/catalog_state.h
@@ -11,12 +11,14 @@
     uint64_t tables_revision;
     uint64_t changed; /* last revision that changed a route or target */
     uint32_t idle_ms;
-    GBytes *document;    /* NULL before the first tables, and on replicas */
-    GHashTable *pools;   /* id -> name */
-    GHashTable *routes;  /* key -> struct catalog_route, removed ones too */
-    GHashTable *targets; /* host -> struct catalog_target, gone ones too */
-    GHashTable *cookies; /* cookie -> struct catalog_target */
-    GPtrArray *sorted;   /* targets by host */
+    GBytes *document;      /* NULL before the first tables, and on replicas */
+    GHashTable *pools;     /* id -> name */
+    GHashTable *routes;    /* key -> struct catalog_route, removed ones too */
+    GHashTable *targets;   /* host -> struct catalog_target, gone ones too */
+    GHashTable *cookies;   /* cookie -> struct catalog_target */
+    GHashTable *addresses; /* address and port -> living target */
+    GPtrArray *sorted;     /* targets by host */
+    unsigned clashes;      /* targets without their cookie */
     struct catalog_seat seats[CATALOG_SEATS_MAX];
 };
 
@@ -25,5 +27,7 @@
 void catalog_put_target(struct catalog *, const struct catalog_target *);
 void catalog_put_pool(struct catalog *, uint64_t id, const char *name);
 void catalog_index(struct catalog *);
+const struct catalog_target *
+catalog_at_address(const struct catalog *, uint32_t address, uint16_t port);
 
 #endif
--- a/src/catalog/catalog_update.c
+++ b/src/catalog/catalog_update.c
@@ -178,7 +178,6 @@
         change->seats = update->n_seats > 0;
         ok = merge_rows(catalog, update);
         merge_head(catalog, update);
-        catalog_index(catalog);
     }
     parsleyspur__catalog_update__free_unpacked(update, NULL);
     return ok;
--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -330,6 +330,9 @@
     pending->response = MHD_create_response_from_buffer(
         len, (void *)(uintptr_t)body, MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(pending->response, "Content-Type", content_type);
+    if (server->options.one_call) {
+        MHD_add_response_header(pending->response, "Connection", "close");
+    }
     if (pending->suspended) {
         pending->suspended = false;
         MHD_resume_connection(pending->connection);
--- a/src/edge/http.h
+++ b/src/edge/http.h
@@ -37,6 +37,7 @@
     size_t body_max;          /* bytes; 0 for 1 MB */
     unsigned connections_max; /* 0 for 256 */
     unsigned timeout_s;       /* of an idle connection; 0 for 30 */
+    bool one_call; /* close after each: callers come rarely, and many */
     void (*handler)(void *user, const struct http_request *);
     void *user;
 };
--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -42,7 +42,8 @@
         .loop = &fleet->loop,
         .listen = fleet->options->calls,
         .body_max = fleet->options->body_max,
-        .connections_max = 512,
+        .connections_max = 2048,
+        .one_call = true,
         .handler = fleet_calls_handle,
         .user = fleet,
     };
@@ -53,6 +54,9 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     control->heard =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    control->packed =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                              (GDestroyNotify)g_byte_array_unref);
     control->unsent = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     if (fleet->options->data_dir == NULL) {
         g_set_error(error, ERR_DOMAIN, ERR_SETTING,
@@ -179,9 +183,13 @@
 fleet_control_adopt_seat(struct fleet *fleet, size_t index, uint32_t address,
                          uint64_t revision)
 {
-    struct catalog_seat *seat = &fleet->control->seats[index];
+    struct catalog_seat *seat;
 
-    if (index >= CATALOG_SEATS_MAX || revision < seat->revision ||
+    if (index >= CATALOG_SEATS_MAX) {
+        return;
+    }
+    seat = &fleet->control->seats[index];
+    if (revision < seat->revision ||
         (revision == seat->revision && seat->address != 0)) {
         return;
     }
@@ -547,6 +555,7 @@
     }
     g_hash_table_destroy(control->requests);
     g_hash_table_destroy(control->heard);
+    g_hash_table_destroy(control->packed);
     g_array_unref(control->unsent);
     g_free(control);
     fleet->control = NULL;
--- a/src/fleet/fleet_control_private.h
+++ b/src/fleet/fleet_control_private.h
@@ -58,6 +58,9 @@
     GArray *unsent;    /* hosts heard here, to be told to the leader */
     uint64_t heard_us; /* when to tell next */
 
+    GHashTable *packed;       /* from and scope -> difference, packed */
+    uint64_t packed_revision; /* of the catalog that these were made of */
+
     uint64_t calls[FLEET_CALL__MAX];
     uint64_t unavailable; /* calls that found no majority in time */
     uint64_t latency[COUNTER_BUCKETS]; /* of answered calls */
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -9,8 +9,10 @@
 
 #define GREET_US      1000000U /* between greetings of control daemons */
 #define CURRENT_US    1500000U /* a control daemon's lag that is no lag */
-#define SEARCH_US     100000U  /* between greetings until there is a catalog */
-#define STALE_WAIT_US 300000U  /* for a current control daemon, at the start */
+#define SEARCH_MIN_US 100000U  /* between greetings until there is a catalog */
+#define SEARCH_GROWTH 1.5     /* after each in vain: many may search at once */
+#define SEARCH_COUNT  3U      /* control daemons greeted at a time */
+#define STALE_WAIT_US 300000U /* for a current control daemon, at the start */
 #define STOP_MIN_US   1200000U /* the fabric asks twice before it moves flows */
 #define STOP_QUIET_US 700000U /* without a packet: the fabric has moved them */
 #define STOP_SPARE_MS 1500U   /* kept of the time before a stop is enforced */
@@ -20,7 +22,7 @@
 static bool is_current(const struct fleet_peer *, uint64_t now_us);
 static bool any_current(const struct fleet *, uint64_t now_us);
 static void consider_ready(struct fleet *, uint64_t now_us);
-static uint64_t greet_interval_us(const struct fleet_entry *);
+static uint64_t greet_interval_us(struct fleet_entry *);
 static gint by_preference(gconstpointer, gconstpointer, gpointer);
 static void choose_feeds(struct fleet *, uint64_t now_us);
 static void greet(struct fleet *, uint32_t address, uint32_t rank);
@@ -159,6 +161,7 @@
     struct fleet_entry *entry = fleet->entry;
     GPtrArray *controls = g_ptr_array_new();
     bool stale = !any_current(fleet, now_us);
+    size_t searched = 0;
     GHashTableIter iter;
     gpointer key, value;
 
@@ -179,8 +182,9 @@
               fleet_peer_is_fresh(peer, now_us)))) {
             entry->feeds[entry->feed_count++] = peer->address;
         }
-        else if (entry->feed_count < FLEET_FEEDS_MAX ||
+        else if (entry->feed_count + searched < SEARCH_COUNT ||
                  g_random_int_range(0, (gint32)controls->len) == 0) {
+            searched++;
             greet(fleet, peer->address, FLEET_FEEDS_MAX);
         }
     }
@@ -271,11 +275,16 @@
                    current ? "true" : "false");
 }
 
+/* Until the next greetings; longer and longer while nothing is found. */
 static uint64_t
-greet_interval_us(const struct fleet_entry *entry)
+greet_interval_us(struct fleet_entry *entry)
 {
+    uint64_t search_us = MAX(entry->search_us, SEARCH_MIN_US);
+
     if (!entry->synced) {
-        return SEARCH_US;
+        entry->search_us =
+            MIN((uint64_t)((double)search_us * SEARCH_GROWTH), GREET_US);
+        return search_us;
     }
     return entry->feed_count == 0 ? FLEET_GREET_FAST_US : GREET_US;
 }
--- a/src/fleet/fleet_feed.c
+++ b/src/fleet/fleet_feed.c
@@ -13,6 +13,8 @@
 
 static bool is_due(const struct fleet_peer *, uint64_t changed,
                    uint64_t now_us);
+static const GByteArray *difference(struct fleet *, uint64_t from,
+                                    enum catalog_scope);
 static void feed(struct fleet *, struct fleet_peer *, uint64_t now_us);
 
 static bool
@@ -26,19 +28,43 @@
            fleet_elapsed_us(now_us, peer->sent_us) >= pace_us;
 }
 
+/*
+ * The difference from the revision FROM on, packed once for all daemons that
+ * hold the same.  Borrowed until the catalog changes.
+ */
+static const GByteArray *
+difference(struct fleet *fleet, uint64_t from, enum catalog_scope scope)
+{
+    struct fleet_control *control = fleet->control;
+    uint64_t revision = catalog_revision(fleet->catalog);
+    uint64_t key = from << 1 | (scope == CATALOG_COMPLETE ? 1 : 0);
+    GByteArray *bytes;
+
+    if (control->packed_revision != revision) {
+        g_hash_table_remove_all(control->packed);
+        control->packed_revision = revision;
+    }
+    bytes = g_hash_table_lookup(control->packed, &key);
+    if (bytes == NULL) {
+        bytes = g_byte_array_new();
+        catalog_pack_update(fleet->catalog, from, scope, bytes);
+        g_hash_table_insert(control->packed, g_memdup2(&key, sizeof(key)),
+                            bytes);
+    }
+    return bytes;
+}
+
 static void
 feed(struct fleet *fleet, struct fleet_peer *peer, uint64_t now_us)
 {
     Parsleyspur__FleetMessage message = PARSLEYSPUR__FLEET_MESSAGE__INIT;
-    GByteArray *bytes = g_byte_array_new();
+    const GByteArray *bytes =
+        difference(fleet, peer->revision,
+                   peer->control ? CATALOG_COMPLETE : CATALOG_FOR_ENTRY);
 
-    catalog_pack_update(fleet->catalog, peer->revision,
-                        peer->control ? CATALOG_COMPLETE : CATALOG_FOR_ENTRY,
-                        bytes);
     message.update.data = bytes->data;
     message.update.len = bytes->len;
     fleet_send(fleet, peer->address, &message);
-    g_byte_array_unref(bytes);
     peer->sent_us = now_us;
 }
 
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -21,6 +21,8 @@
 static void on_role(struct fleet *, const struct quorum_action *);
 static void on_stored(void *, uint64_t token, bool ok);
 static void on_space(void *, bool low);
+static bool speaks_for(struct fleet *, const struct fleet_peer *,
+                       uint64_t seat, uint64_t revision);
 static void look_after(struct fleet *, uint64_t now_us);
 static void recover(struct fleet *);
 static void note_seats(struct fleet *);
@@ -92,6 +94,7 @@
     }
     catalog_free(fleet->catalog);
     fleet->catalog = catalog_new();
+    control->packed_revision = UINT64_MAX;
     control->quorum = quorum_core_new(&options, &stored, fleet_now_us());
     fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "log-open",
                    "\"seat\":%zu,\"empty\":%s,\"records\":%" G_GUINT64_FORMAT
@@ -185,33 +188,41 @@
 }
 
 /*
- * A message of another voter.  One that speaks for a seat which has passed to
+ * True if the daemon PEER holds SEAT, as far as is known: what it says of its
+ * own tenure is taken if it is newer.
+ */
+static bool
+speaks_for(struct fleet *fleet, const struct fleet_peer *peer, uint64_t seat,
+           uint64_t revision)
+{
+    struct fleet_control *control = fleet->control;
+
+    if (seat < 1 || seat > control->seat_count || seat == control->seat) {
+        return false;
+    }
+    fleet_control_adopt_seat(fleet, seat - 1, peer->address, revision);
+    return control->seats[seat - 1].address == peer->address &&
+           control->seats[seat - 1].revision == revision;
+}
+
+/*
+ * A message of another voter.  One in the name of a seat that has passed to
  * another daemon is left out.
  */
 void
 fleet_quorum_message(struct fleet *fleet, struct fleet_peer *peer,
                      const Parsleyspur__FleetQuorum *wrapped)
 {
-    struct fleet_control *control = fleet->control;
     struct quorum_event event = {.kind = QUORUM_EV_MESSAGE};
     struct quorum_message message;
-    uint64_t seat;
 
     if (!quorum_wire_unpack(wrapped->message.data, wrapped->message.len,
                             &message)) {
         counter_add(&fleet->counters, COUNTER_PEER_BAD_FRAMES, 1);
         return;
     }
-    seat = message.from.value;
-    if (control->quorum != NULL && seat >= 1 && seat <= control->seat_count &&
-        seat != control->seat &&
-        wrapped->seat_revision >= control->seats[seat - 1].revision) {
-        fleet_control_adopt_seat(fleet, seat - 1, peer->address,
-                                 wrapped->seat_revision);
-    }
-    if (control->quorum != NULL && seat >= 1 && seat <= control->seat_count &&
-        seat != control->seat &&
-        control->seats[seat - 1].address == peer->address) {
+    if (fleet->control->quorum != NULL &&
+        speaks_for(fleet, peer, message.from.value, wrapped->seat_revision)) {
         event.u.message = &message;
         step(fleet, &event);
     }
@@ -365,6 +376,7 @@
     catalog_skip(fresh, snapshot->index);
     catalog_free(fleet->catalog);
     fleet->catalog = fresh;
+    fleet->control->packed_revision = UINT64_MAX;
     note_seats(fleet);
 }
 
--- a/src/quorum/quorum_out.c
+++ b/src/quorum/quorum_out.c
@@ -229,9 +229,8 @@
     }
     g_array_set_size(core->outgoing, 0);
     if (core->take_now) {
-        core->take_now = false;
         quorum_act(core, QUORUM_ACT_TAKE_SNAPSHOT)->u.take_snapshot =
-            core->taking;
+            quorum_snapshot_begin(core);
     }
 }
 
--- a/src/quorum/quorum_state.h
+++ b/src/quorum/quorum_state.h
@@ -151,6 +151,7 @@
 
 /* quorum_transfer.c: snapshots between voters and from the state machine */
 void quorum_snapshot_due(struct quorum_core *);
+uint64_t quorum_snapshot_begin(struct quorum_core *);
 void quorum_on_snapshot_taken(struct quorum_core *, uint64_t index, GBytes *);
 void quorum_stop_sending(struct quorum_peer *);
 void quorum_send_piece(struct quorum_core *, struct quorum_peer *);
--- a/src/quorum/quorum_transfer.c
+++ b/src/quorum/quorum_transfer.c
@@ -13,20 +13,30 @@
 static uint64_t take_piece(struct quorum_core *,
                            const struct quorum_message *);
 
-/* Ask the state machine for a snapshot if enough has been applied. */
+/* Have the step end with a snapshot if enough has been applied. */
 void
 quorum_snapshot_due(struct quorum_core *core)
 {
     uint64_t last = core->snapshot != NULL ? core->snapshot->index : 0;
 
-    if (core->taking != 0 ||
-        core->applied - last < core->options.snapshot_entries) {
-        return;
+    if (core->taking == 0 &&
+        core->applied - last >= core->options.snapshot_entries) {
+        core->take_now = true;
     }
+}
+
+/*
+ * The step is over: name the index that the state machine has reached by now,
+ * for which it is asked.  Returns that index.
+ */
+uint64_t
+quorum_snapshot_begin(struct quorum_core *core)
+{
+    core->take_now = false;
     core->taking = core->applied;
     quorum_log_term(&core->log, core->applied, &core->taking_term);
     memcpy(core->taking_admitted, core->admitted, sizeof(core->admitted));
-    core->take_now = true;
+    return core->taking;
 }
 
 /* The state machine's snapshot at INDEX: store it and shorten the log. */
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -260,6 +260,63 @@
     close_cluster(&cluster);
 }
 
+/*
+ * The first event after a start commits more than was known at the start, in
+ * one step: a snapshot that falls due must name the last index applied.
+ */
+static void
+test_snapshot_at_the_start(void **state)
+{
+    struct quorum_options options = {
+        .self = {1},
+        .voters = {{1}, {2}, {3}},
+        .voter_count = 3,
+        .seed = 1,
+        .snapshot_entries = 4,
+    };
+    struct quorum_message append = {.kind = QUORUM_MSG_APPEND,
+                                    .from = {2},
+                                    .term = 1,
+                                    .index = 10,
+                                    .index_term = 1,
+                                    .commit = 10};
+    struct quorum_event event = {.kind = QUORUM_EV_MESSAGE};
+    struct quorum_actions actions = {0};
+    struct quorum_stored stored;
+    struct quorum_core *core;
+    uint64_t applied = 0, taken = 0;
+
+    (void)state;
+    quorum_stored_init(&stored);
+    stored.hard = (struct quorum_hard){1, {0}, 7, true, 8};
+    for (uint64_t i = 1; i <= 10; i++) {
+        struct quorum_entry *entry =
+            quorum_entry_new(i, 1, QUORUM_ENTRY_COMMAND);
+
+        entry->command = g_bytes_new_static("x", 1);
+        g_ptr_array_add(stored.entries, entry);
+    }
+    append.entries = quorum_entries_new();
+    event.u.message = &append;
+    core = quorum_core_new(&options, &stored, SECOND);
+    quorum_core_step(core, SECOND, &event, &actions);
+    for (size_t i = 0; i < actions.count; i++) {
+        if (actions.items[i].kind == QUORUM_ACT_APPLY) {
+            applied = actions.items[i].u.apply->index;
+        }
+        if (actions.items[i].kind == QUORUM_ACT_TAKE_SNAPSHOT) {
+            taken = actions.items[i].u.take_snapshot;
+        }
+    }
+    assert_int_equal(applied, 10);
+    assert_int_equal(taken, 10);
+    quorum_actions_clear(&actions);
+    g_free(actions.items);
+    quorum_message_clear(&append);
+    quorum_core_free(core);
+    quorum_stored_clear(&stored);
+}
+
 int
 main(void)
 {
@@ -272,6 +329,7 @@
         cmocka_unit_test(test_majority_lost),
         cmocka_unit_test(test_snapshot_pieces),
         cmocka_unit_test(test_committed_is_known_at_the_start),
+        cmocka_unit_test(test_snapshot_at_the_start),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
