--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -14,6 +14,7 @@
 #define STANDBYS_MAX   32
 #define LAG_UNKNOWN_MS UINT32_MAX
 
+static void open_log(struct fleet *, bool may_found);
 static void found(struct fleet *);
 static void take_seat(struct fleet *, size_t index);
 static void leave_seat(struct fleet *);
@@ -84,6 +85,19 @@
     return x < y ? -1 : x > y;
 }
 
+/* Open the log of the seat held; where that fails it is tried again. */
+static void
+open_log(struct fleet *fleet, bool may_found)
+{
+    GError *error = NULL;
+
+    if (!fleet_quorum_open(fleet, may_found, &error)) {
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+                       "log-not-open", "\"error\":\"%s\"", error->message);
+        g_error_free(error);
+    }
+}
+
 /*
  * The whole fleet starts for the first time.  All are told the same seeds, so
  * that all know the founders' seats; further seats stay vacant until a
@@ -95,7 +109,6 @@
     struct fleet_control *control = fleet->control;
     struct fleet_seeds seeds = fleet->seeds;
     size_t wanted = 2 * (size_t)fleet->options->losses + 1;
-    GError *error = NULL;
 
     qsort(seeds.addresses, seeds.count, sizeof(seeds.addresses[0]),
           by_address);
@@ -112,10 +125,8 @@
         }
     }
     fleet_seat_file_write(fleet);
-    if (control->seat != 0 && !fleet_quorum_open(fleet, true, &error)) {
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
-                       "log-not-open", "\"error\":\"%s\"", error->message);
-        g_error_free(error);
+    if (control->seat != 0) {
+        open_log(fleet, true);
     }
 }
 
@@ -124,7 +135,6 @@
 take_seat(struct fleet *fleet, size_t index)
 {
     struct fleet_control *control = fleet->control;
-    GError *error = NULL;
 
     control->seat = index + 1;
     control->log_number++;
@@ -134,11 +144,7 @@
     fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "seat-taken",
                    "\"seat\":%zu,\"revision\":%" G_GUINT64_FORMAT,
                    control->seat, control->seats[index].revision);
-    if (!fleet_quorum_open(fleet, false, &error)) {
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
-                       "log-not-open", "\"error\":\"%s\"", error->message);
-        g_error_free(error);
-    }
+    open_log(fleet, false);
 }
 
 /* The seat has passed to another daemon: what was voted for is over. */
