Keep log lines JSON, the short queue bounded, ended targets forgotten

Cause: found by reading the fleet's code once from end to end. - Texts that come from outside (a route's name in a fault, a pool's name, an error) were escaped by g_strescape(), whose octal escapes are no JSON, or not at all; members above 320 bytes were cut in the middle of a string. - The shaper bounded bulk only: short packets behind a slow link were queued without end, and every one was compared with all before it. - What an entry daemon knew of a target stayed for good when a flow of the target ended after the target did. - The entry role described verdicts_total once for each reason, which no reader of Prometheus text has to take. - quorum_core_store() and answer_at_us had no reader.

Change: base/log.c writes texts, members and times as JSON for both logs; members that are too long are left out and counted in the line. Short packets may fill as much again as bulk. One description for each metric.

--- a/src/affinity/affinity.c
+++ b/src/affinity/affinity.c
@@ -269,7 +269,6 @@
         struct affinity_load *load;
 
         if (target->state == CATALOG_GONE) {
-            g_hash_table_remove(core->loads, &target->host);
             continue;
         }
         load = affinity_load_of(core, target->host);
@@ -280,7 +279,7 @@
     }
 }
 
-/* Forget, now and then, flows that have fallen silent. */
+/* Forget, now and then, silent flows and targets that have ended. */
 void
 affinity_core_tick(struct affinity_core *core, uint64_t now_us,
                    const struct catalog *catalog)
@@ -295,6 +294,7 @@
     affinity_flow_sweep(core, now_us,
                         (uint64_t)(idle_ms == 0 ? IDLE_DEFAULT_MS : idle_ms) *
                             1000);
+    affinity_load_sweep(core, catalog);
 }
 
 const struct affinity_counters *
@@ -309,3 +309,10 @@
 {
     return g_hash_table_size(core->flows);
 }
+
+/* Targets of which something is known at present. */
+size_t
+affinity_core_targets(const struct affinity_core *core)
+{
+    return g_hash_table_size(core->loads);
+}
--- a/src/affinity/affinity.h
+++ b/src/affinity/affinity.h
@@ -101,6 +101,7 @@
 const struct affinity_counters *
 affinity_core_counters(const struct affinity_core *);
 size_t affinity_core_flows(const struct affinity_core *);
+size_t affinity_core_targets(const struct affinity_core *);
 const char *affinity_reason_name(enum affinity_reason);
 
 #endif
--- a/src/affinity/affinity_flow.c
+++ b/src/affinity/affinity_flow.c
@@ -142,7 +142,7 @@
 {
     if (flow->busy && flow->requests > 0) {
         counter_latency(core->counters.answers, now_us - flow->request_us);
-        affinity_load_answered(affinity_load_of(core, flow->host), now_us,
+        affinity_load_answered(affinity_load_of(core, flow->host),
                                now_us - flow->request_us);
         set_busy(core, flow, false);
     }
--- a/src/affinity/affinity_load.c
+++ b/src/affinity/affinity_load.c
@@ -19,15 +19,13 @@
 
 /* A request was answered after TOOK_US. */
 void
-affinity_load_answered(struct affinity_load *load, uint64_t now_us,
-                       uint64_t took_us)
+affinity_load_answered(struct affinity_load *load, uint64_t took_us)
 {
     if (load->answer_us == 0) {
         load->answer_us = took_us;
     }
     load->answer_us +=
         took_us / AVERAGE_SHARE - load->answer_us / AVERAGE_SHARE;
-    load->answer_at_us = now_us;
 }
 
 /* True while the target is passed over, since it does not answer. */
@@ -53,3 +51,22 @@
         load->suspect_until_us = now_us + core->options.suspect_us;
     }
 }
+
+/* Forget targets that have ended, or that the catalog does not know. */
+void
+affinity_load_sweep(struct affinity_core *core, const struct catalog *catalog)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+
+    g_hash_table_iter_init(&iter, core->loads);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct affinity_load *load = value;
+        const struct catalog_target *target =
+            catalog_find_target(catalog, load->host);
+
+        if (target == NULL || target->state == CATALOG_GONE) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -21,7 +21,6 @@
     uint64_t cold_until_us;
     uint64_t cold_revision; /* of the row that told of it */
     uint64_t answer_us;     /* moving average from request to answer */
-    uint64_t answer_at_us;  /* when the average last changed */
 };
 
 enum affinity_phase {
@@ -68,11 +67,11 @@
 
 /* affinity_load.c: what is known of targets */
 struct affinity_load *affinity_load_of(struct affinity_core *, uint64_t host);
-void affinity_load_answered(struct affinity_load *, uint64_t now_us,
-                            uint64_t took_us);
+void affinity_load_answered(struct affinity_load *, uint64_t took_us);
 bool affinity_load_suspect(const struct affinity_load *, uint64_t now_us);
 void affinity_load_unanswered(struct affinity_core *, struct affinity_load *,
                               uint64_t now_us);
+void affinity_load_sweep(struct affinity_core *, const struct catalog *);
 
 /* affinity_flow.c: what is known of flows */
 struct affinity_flow *affinity_flow_find(struct affinity_core *,
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -4,6 +4,7 @@
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -14,7 +15,7 @@
 static const char *daemon_name;
 
 static const char *level_name(GLogLevelFlags);
-static char *time_text(void);
+static void add_members(json_t *, const GLogField *, gsize);
 static GLogWriterOutput write_text(GLogLevelFlags, const GLogField *, gsize);
 static GLogWriterOutput write_json(GLogLevelFlags, const GLogField *, gsize);
 static GLogWriterOutput writer(GLogLevelFlags, const GLogField *, gsize,
@@ -47,8 +48,8 @@
 }
 
 /* The present time in RFC 3339 with milliseconds; the caller frees it. */
-static char *
-time_text(void)
+char *
+log_time_text(void)
 {
     GDateTime *now = g_date_time_new_now_utc();
     char *seconds = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
@@ -64,7 +65,7 @@
 write_text(GLogLevelFlags level, const GLogField *fields, gsize count)
 {
     GString *line = g_string_new(NULL);
-    char *when = time_text();
+    char *when = log_time_text();
 
     g_string_append_printf(line, "%s %s %s:", when, level_name(level),
                            daemon_name);
@@ -88,27 +89,36 @@
     return G_LOG_WRITER_HANDLED;
 }
 
+/* Add the message and the pairs of log_state() to OBJECT. */
+static void
+add_members(json_t *object, const GLogField *fields, gsize count)
+{
+    for (gsize i = 0; i < count; i++) {
+        bool message = strcmp(fields[i].key, "MESSAGE") == 0;
+        char *key, *value;
+
+        if (!message && !g_str_has_prefix(fields[i].key, "PS_")) {
+            continue;
+        }
+        key = message ? g_strdup("message")
+                      : g_ascii_strdown(fields[i].key + strlen("PS_"), -1);
+        value = g_utf8_make_valid(fields[i].value, fields[i].length);
+        json_object_set_new(object, key, json_string(value));
+        g_free(key);
+        g_free(value);
+    }
+}
+
 static GLogWriterOutput
 write_json(GLogLevelFlags level, const GLogField *fields, gsize count)
 {
     json_t *object = json_object();
-    char *when = time_text(), *line;
+    char *when = log_time_text(), *line;
 
     json_object_set_new(object, "time", json_string(when));
     json_object_set_new(object, "level", json_string(level_name(level)));
     json_object_set_new(object, "daemon", json_string(daemon_name));
-    for (gsize i = 0; i < count; i++) {
-        bool message = strcmp(fields[i].key, "MESSAGE") == 0;
-
-        if (message || g_str_has_prefix(fields[i].key, "PS_")) {
-            char *key = message ? g_strdup("message")
-                                : g_ascii_strdown(fields[i].key + 3, -1);
-
-            json_object_set_new(object, key,
-                                json_string((const char *)fields[i].value));
-            g_free(key);
-        }
-    }
+    add_members(object, fields, count);
     line = json_dumps(object, JSON_COMPACT);
     fprintf(stderr, "%s\n", line);
     free(line);
@@ -161,3 +171,36 @@
     va_end(list);
     g_log_structured_array(level, fields, count);
 }
+
+/* TEXT as a JSON string with its quotes; the caller frees it. */
+char *
+log_json_text(const char *text)
+{
+    char *valid = g_utf8_make_valid(text, -1);
+    json_t *string = json_string(valid);
+    char *quoted = json_dumps(string, JSON_ENCODE_ANY);
+    char *own = g_strdup(quoted);
+
+    free(quoted);
+    json_decref(string);
+    g_free(valid);
+    return own;
+}
+
+/*
+ * The members of a JSON object, without its braces, that say what FIELDS of
+ * GLib's log do; the caller frees them.
+ */
+char *
+log_json_members(const GLogField *fields, gsize count)
+{
+    json_t *object = json_object();
+    char *dumped, *members;
+
+    add_members(object, fields, count);
+    dumped = json_dumps(object, JSON_COMPACT);
+    members = g_strndup(dumped + 1, strlen(dumped) - 2);
+    free(dumped);
+    json_decref(object);
+    return members;
+}
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -19,4 +19,8 @@
 void log_state(GLogLevelFlags, const char *message,
                ...) G_GNUC_NULL_TERMINATED;
 
+char *log_time_text(void);
+char *log_json_text(const char *);
+char *log_json_members(const GLogField *, gsize count);
+
 #endif
--- a/src/fleet/fleet_answer.c
+++ b/src/fleet/fleet_answer.c
@@ -1,6 +1,7 @@
 /* Answers to calls, and the metrics' own address. */
 #include <string.h>
 
+#include "base/log.h"
 #include "fleet/fleet_private.h"
 
 #define METRICS_PATH "/metrics"
@@ -12,17 +13,17 @@
 fleet_answer(struct fleet *fleet, struct http_handle handle, unsigned status,
              const char *message)
 {
-    char *escaped, *body;
+    char *text, *body;
 
     if (message == NULL) {
         fleet_answer_json(fleet, handle, status, "{}", 2);
         return;
     }
-    escaped = g_strescape(message, NULL);
-    body = g_strdup_printf("{\"error\":\"%s\"}", escaped);
+    text = log_json_text(message);
+    body = g_strdup_printf("{\"error\":%s}", text);
     fleet_answer_json(fleet, handle, status, body, strlen(body));
     g_free(body);
-    g_free(escaped);
+    g_free(text);
 }
 
 void
--- a/src/fleet/fleet_calls.c
+++ b/src/fleet/fleet_calls.c
@@ -1,4 +1,5 @@
 /* Calls of operators and targets, decoded by the platform's functions. */
+#include "base/log.h"
 #include "fleet/fleet_control_private.h"
 
 static void take_announcement(struct fleet *, const struct http_request *,
@@ -52,13 +53,12 @@
 refuse(struct fleet *fleet, const struct http_request *request,
        unsigned status, const char *fault)
 {
-    char *escaped = g_strescape(fault, NULL);
+    char *text = log_json_text(fault);
 
     fleet_log_line(fleet->log, FLEET_LOG_REQUEST, fleet_now_us(),
-                   "call-refused", "\"status\":%u,\"fault\":\"%s\"", status,
-                   escaped);
+                   "call-refused", "\"status\":%u,\"fault\":%s", status, text);
     fleet_answer(fleet, request->handle, status, fault);
-    g_free(escaped);
+    g_free(text);
 }
 
 /*
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -31,6 +31,7 @@
                         const ProtobufCBinaryData *);
 static void log_connection(struct fleet *, uint64_t now_us);
 static void advance_stop(struct fleet *, uint64_t now_us);
+static void write_verdicts(const struct affinity_counters *, GString *);
 
 /* Start the role: packets, readiness, and the search for control daemons. */
 bool
@@ -424,13 +425,22 @@
     counter_write_latency("answer_latency_ms",
                           "From a caller's request to its answer.",
                           counters->answers, out);
-    for (int i = 0; i < AFFINITY_REASON__MAX; i++) {
-        char *name = g_strdup_printf("verdicts_total{reason=\"%s\"}",
-                                     affinity_reason_name(i));
-        struct counter_extra row = {name, "Packets by decision.", "counter",
-                                    (double)counters->reasons[i]};
+    write_verdicts(counters, out);
+}
+
+/* Packets by the reason of their verdict, as labels. */
+static void
+write_verdicts(const struct affinity_counters *counters, GString *out)
+{
+    struct counter_extra rows[AFFINITY_REASON__MAX];
+    char names[AFFINITY_REASON__MAX][64];
 
-        counter_write_extra(&row, 1, out);
-        g_free(name);
+    for (int i = 0; i < AFFINITY_REASON__MAX; i++) {
+        g_snprintf(names[i], sizeof(names[i]), "verdicts_total{reason=\"%s\"}",
+                   affinity_reason_name((enum affinity_reason)i));
+        rows[i] =
+            (struct counter_extra){names[i], "Packets by decision.", "counter",
+                                   (double)counters->reasons[i]};
     }
+    counter_write_extra(rows, AFFINITY_REASON__MAX, out);
 }
--- a/src/fleet/fleet_log.c
+++ b/src/fleet/fleet_log.c
@@ -5,14 +5,15 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
+#include "base/log.h"
+
 #define LINES_PER_S_DEFAULT  100
 #define BUFFER_BYTES_DEFAULT 65536
-#define LINE_MAX_BYTES       640
+#define LINE_MAX_BYTES       1152
+#define MEMBERS_MAX_BYTES    1024 /* of a line; the rest names daemon and event */
 #define BURST_S              2 /* lines of this many seconds may come at once */
 
 struct fleet_log {
@@ -86,29 +87,25 @@
 static void
 append(struct fleet_log *log, const char *event, const char *members)
 {
-    struct timespec now;
-    struct tm parts;
-    char when[32];
-
-    clock_gettime(CLOCK_REALTIME, &now);
-    gmtime_r(&now.tv_sec, &parts);
-    strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &parts);
-    g_string_append_printf(log->buffer,
-                           "{\"time\":\"%s.%03ldZ\",\"daemon\":\"%s\","
-                           "\"event\":\"%s\"%s%s}\n",
-                           when, now.tv_nsec / 1000000, log->options.daemon,
-                           event, members[0] == '\0' ? "" : ",", members);
+    char *when = log_time_text();
+
+    g_string_append_printf(
+        log->buffer,
+        "{\"time\":\"%s\",\"daemon\":\"%s\",\"event\":\"%s\"%s%s}\n", when,
+        log->options.daemon, event, members[0] == '\0' ? "" : ",", members);
+    g_free(when);
 }
 
 /*
  * Add one line.  EVENT names what happened; FORMAT and what follows give the
- * members that say why.  Lines wait for fleet_log_flush().
+ * members that say why.  Members that are too long are left out, since a part
+ * of them would not be JSON.  Lines wait for fleet_log_flush().
  */
 void
 fleet_log_line(struct fleet_log *log, enum fleet_log_weight weight,
                uint64_t now_us, const char *event, const char *format, ...)
 {
-    char members[LINE_MAX_BYTES / 2];
+    char *members;
     va_list list;
 
     if (!may_write(log, weight, now_us)) {
@@ -116,9 +113,17 @@
         return;
     }
     va_start(list, format);
-    g_vsnprintf(members, sizeof(members), format, list);
+    members = g_strdup_vprintf(format, list);
     va_end(list);
+    if (strlen(members) > MEMBERS_MAX_BYTES) {
+        char *instead =
+            g_strdup_printf("\"bytes_left_out\":%zu", strlen(members));
+
+        g_free(members);
+        members = instead;
+    }
     append(log, event, members);
+    g_free(members);
 }
 
 /* Hand the lines to the descriptor; what it does not take stays. */
@@ -149,33 +154,18 @@
     }
 }
 
-/* GLib's writer: the message, then the members that modules add as PS_X. */
+/* GLib's writer: the lines of modules that know no fleet. */
 static GLogWriterOutput
 write_glib(GLogLevelFlags level, const GLogField *fields, gsize count,
            gpointer user)
 {
     struct fleet_log *log = user;
-    GString *members = g_string_new("\"text\":\"");
+    char *members = log_json_members(fields, count);
 
     (void)level;
-    for (gsize i = 0; i < count; i++) {
-        bool text = strcmp(fields[i].key, "MESSAGE") == 0;
-        char *value;
-
-        if (!text && !g_str_has_prefix(fields[i].key, "PS_")) {
-            continue;
-        }
-        value = g_strescape(fields[i].value, NULL);
-        g_string_append_printf(members, "%s%s%s", text ? "" : " ",
-                               text ? "" : fields[i].key + strlen("PS_"),
-                               text ? "" : "=");
-        g_string_append(members, value);
-        g_free(value);
-    }
-    g_string_append_c(members, '"');
     fleet_log_line(log, FLEET_LOG_STATE, log->now_us(), "message", "%s",
-                   members->str);
-    g_string_free(members, TRUE);
+                   members);
+    g_free(members);
     return G_LOG_WRITER_HANDLED;
 }
 
--- a/src/fleet/fleet_log.h
+++ b/src/fleet/fleet_log.h
@@ -28,7 +28,8 @@
 
 struct fleet_log *fleet_log_new(const struct fleet_log_options *);
 void fleet_log_free(struct fleet_log *);
-/* FORMAT gives the members of a JSON object, without its braces. */
+/* FORMAT gives the members of a JSON object, without its braces; texts that
+ * come from outside go through log_json_text(). */
 void fleet_log_line(struct fleet_log *, enum fleet_log_weight, uint64_t now_us,
                     const char *event, const char *format, ...)
     G_GNUC_PRINTF(5, 6);
--- a/src/fleet/fleet_presence.c
+++ b/src/fleet/fleet_presence.c
@@ -4,6 +4,7 @@
  * missing, so that new flows avoid them.  Open flows are left alone: it may
  * be that only the announcements do not come through.
  */
+#include "base/log.h"
 #include "fleet/fleet_control_private.h"
 
 #define TELL_EVERY_US 200000U
@@ -90,14 +91,17 @@
     struct catalog_command command = {.kind = CATALOG_PRESENCE};
     struct fleet_waiter waiter = {.kind = FLEET_WAITER_NONE,
                                   .what = "presence"};
+    char *pool =
+        log_json_text(catalog_pool_name(fleet->catalog, target->pool));
 
     command.u.target.host = target->host;
     command.u.target.born = target->born;
     command.u.target.missing = true;
-    fleet_log_line(
-        fleet->log, FLEET_LOG_STATE, fleet_now_us(), "target-missing",
-        "\"target\":\"%" G_GINT64_MODIFIER "x\",\"pool\":\"%s\"", target->host,
-        catalog_pool_name(fleet->catalog, target->pool));
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+                   "target-missing",
+                   "\"target\":\"%" G_GINT64_MODIFIER "x\",\"pool\":%s",
+                   target->host, pool);
+    g_free(pool);
     fleet_request_command(fleet, &command, &waiter);
 }
 
--- a/src/quorum/quorum_core.c
+++ b/src/quorum/quorum_core.c
@@ -405,13 +405,6 @@
     return core->hard.voter;
 }
 
-/* The id of this voter's store. */
-uint64_t
-quorum_core_store(const struct quorum_core *core)
-{
-    return core->hard.store;
-}
-
 /*
  * How long ago this voter last heard the leader; 0 for a leader with a
  * lease, and a very long time if none was heard.
--- a/src/quorum/quorum_core.h
+++ b/src/quorum/quorum_core.h
@@ -140,7 +140,6 @@
 bool quorum_core_read_ok(const struct quorum_core *, uint64_t now_us);
 bool quorum_core_failed(const struct quorum_core *);
 bool quorum_core_votes(const struct quorum_core *);
-uint64_t quorum_core_store(const struct quorum_core *);
 uint64_t quorum_core_leader_lag_us(const struct quorum_core *,
                                    uint64_t now_us);
 bool quorum_core_voter_heard(const struct quorum_core *, struct daemon_id,
--- a/src/shape/shape.c
+++ b/src/shape/shape.c
@@ -9,6 +9,7 @@
 #define BURST_MIN     2560   /* bytes: two full packets */
 #define QUEUE_US      500000 /* callers send again long before */
 #define QUEUE_MIN     32768
+#define SHORT_SHARE   2 /* short ones may fill as much again as bulk */
 #define SHORT_DEFAULT 256
 #define FRAME_DEFAULT 28 /* bytes of the IP and UDP heads */
 #define US_PER_S      1000000
@@ -41,6 +42,7 @@
 static double tokens_at(const struct shape *, uint64_t now_us);
 static bool is_queued(const struct shape *, enum shape_class,
                       const struct shape_packet *);
+static size_t limit_of(const struct shape *, enum shape_class);
 static const struct entry *next_of(const struct shape *);
 
 /* A shaper with empty queues. */
@@ -124,6 +126,15 @@
     return false;
 }
 
+/* Bytes that may wait in all when a packet of CLASS is taken in. */
+static size_t
+limit_of(const struct shape *shape, enum shape_class class)
+{
+    size_t bulk = shape->options.queue_bytes;
+
+    return class == SHAPE_BULK ? bulk : bulk * SHORT_SHARE;
+}
+
 /*
  * Take in PACKET, whose bytes are copied.  False if it is left out: as a copy
  * of one that waits, or since too much waits.
@@ -139,8 +150,7 @@
         shape->counters.repeated++;
         return false;
     }
-    if (class == SHAPE_BULK &&
-        shape->bytes + packet->len > shape->options.queue_bytes) {
+    if (shape->bytes + packet->len > limit_of(shape, class)) {
         shape->counters.dropped++;
         return false;
     }
--- a/src/shape/shape.h
+++ b/src/shape/shape.h
@@ -3,7 +3,8 @@
  * that drops what exceeds its own short queue.  Packets leave at the link's
  * rate; short ones first, since openings and requests must not wait behind
  * the data of uploads.  A packet that is sent again while its first copy
- * still waits here is left out.  Above a bound of bytes bulk is dropped.
+ * still waits here is left out.  Above a bound of bytes bulk is dropped,
+ * above twice as many all is.
  *
  * Pure: packets and the time go in, packets that may leave come out.
  */
@@ -20,7 +21,7 @@
 struct shape_options {
     uint64_t bytes_per_s; /* of the link; 0: nothing ever waits */
     uint32_t burst_bytes; /* may leave at once; 15 ms of the rate, 2,560 */
-    uint32_t queue_bytes; /* may wait; 500 ms of the rate, 32,768 */
+    uint32_t queue_bytes; /* of bulk may wait; 500 ms of the rate, 32,768 */
     uint32_t short_bytes; /* a packet up to this length is short; 256 */
     uint32_t frame_bytes; /* that the link adds to each packet; 28 */
 };
--- a/tests/script/fleet-controls/run.sh
+++ b/tests/script/fleet-controls/run.sh
@@ -17,23 +17,10 @@
 seated() { # how many daemons hold a seat
     local n count=0
     for n in "${CONTROLS[@]}"; do
-        count=$((count + $(curl_metric "$n" quorum_seat)))
+        count=$((count + $(metric_is_set "$n" quorum_seat)))
     done
     echo "$count"
 }
-curl_metric() { # NAME METRIC: 1 if it is above 0
-    python3 - "http://$(address_of "$1"):$((INNER_PORT + 1))/metrics" "$2" <<'P'
-import sys, urllib.request
-try:
-    text = urllib.request.urlopen(sys.argv[1], timeout=1).read().decode()
-except OSError:
-    print(0)
-    sys.exit()
-for line in text.splitlines():
-    if sys.argv[2] in line and not line.startswith("#"):
-        print(1 if float(line.split()[-1]) > 0 else 0)
-P
-}
 three_seated() { [ "$(seated)" -eq 3 ]; }
 wait_for 10 three_seated && echo "three voters again"
 second=$(leader_name)
--- a/tests/script/fleet-entries/run.sh
+++ b/tests/script/fleet-entries/run.sh
@@ -5,6 +5,10 @@
 hosts_start 9
 fleet_serves 1
 echo "served"
+for n in entry-1 control-1; do
+    [ "$(metrics_of $n | grep -c '^parsleyspur_')" -gt 10 ] &&
+        [ -z "$(described_twice $n)" ] && echo "$n describes each metric once"
+done
 kill -TERM "${PID[entry-1]}"
 mark
 wait_for 10 served 200 && echo "served during a planned stop"
--- a/tests/script/fleet.sh
+++ b/tests/script/fleet.sh
@@ -73,6 +73,28 @@
         give_up "the stand-in does not listen"
 }
 
+metrics_of() { # NAME: the text of its metrics; nothing if it does not answer
+    python3 - "http://$(address_of "$1"):$((INNER_PORT + 1))/metrics" <<'P'
+import sys, urllib.request
+try:
+    sys.stdout.write(
+        urllib.request.urlopen(sys.argv[1], timeout=1).read().decode())
+except OSError:
+    pass
+P
+}
+
+metric_is_set() { # NAME METRIC: 1 if it is above 0
+    metrics_of "$1" | awk -v metric="parsleyspur_$2" \
+        '$1 == metric && $2 > 0 { set = 1 } END { print set + 0 }'
+}
+
+# Lines that describe a metric which was described before.
+described_twice() { # NAME
+    metrics_of "$1" | grep -E '^# (HELP|TYPE)' | cut -d' ' -f2,3 | sort |
+        uniq -d
+}
+
 side() { # COMMAND...
     ctl side "$@"
 }
--- a/tests/unit/test_affinity.c
+++ b/tests/unit/test_affinity.c
@@ -27,6 +27,7 @@
 static void test_silent_target_is_passed_over(void **);
 static void test_no_route(void **);
 static void test_target_gone(void **);
+static void test_ended_targets_are_forgotten(void **);
 static void test_unknown_cookie(void **);
 static void test_draining_and_missing(void **);
 static void test_flows_dealt_evenly(void **);
@@ -254,6 +255,31 @@
     end(&world);
 }
 
+/* Hosts that come and go leave nothing behind, also with flows still open. */
+static void
+test_ended_targets_are_forgotten(void **state)
+{
+    struct world world = begin(1);
+
+    (void)state;
+    for (uint64_t host = 2; host < 100; host++) {
+        struct catalog_target leaving = target_of(host - 1, 100, 0, "desk");
+
+        announce(&world.script, host, 100, 1, "desk");
+        open_flow(&world, (uint16_t)host);
+        tell(&world.script, CATALOG_LEAVE, &leaving);
+        affinity_core_catalog(world.core, world.now_us, world.script.catalog);
+    }
+    world.now_us += 60 * SECOND;
+    for (int tick = 0; tick < 2; tick++) {
+        world.now_us += SECOND;
+        affinity_core_tick(world.core, world.now_us, world.script.catalog);
+    }
+    assert_int_equal(affinity_core_flows(world.core), 0);
+    assert_int_equal(affinity_core_targets(world.core), 1);
+    end(&world);
+}
+
 static void
 test_unknown_cookie(void **state)
 {
@@ -365,6 +391,7 @@
         cmocka_unit_test(test_silent_target_is_passed_over),
         cmocka_unit_test(test_no_route),
         cmocka_unit_test(test_target_gone),
+        cmocka_unit_test(test_ended_targets_are_forgotten),
         cmocka_unit_test(test_unknown_cookie),
         cmocka_unit_test(test_draining_and_missing),
         cmocka_unit_test(test_flows_dealt_evenly),
--- a/tests/unit/test_shape.c
+++ b/tests/unit/test_shape.c
@@ -19,6 +19,7 @@
 static void test_short_first(void **);
 static void test_copy_left_out(void **);
 static void test_bound(void **);
+static void test_short_packets_bounded(void **);
 static void test_no_rate(void **);
 
 static bool
@@ -124,6 +125,26 @@
     shape_free(shape);
 }
 
+/* Openings get in above the bound of bulk, but not without end. */
+static void
+test_short_packets_bounded(void **state)
+{
+    struct shape_options options = {.bytes_per_s = RATE,
+                                    .queue_bytes = 4 * FULL};
+    struct shape *shape = shape_new(&options);
+
+    (void)state;
+    for (uint64_t key = 1; key <= 4; key++) {
+        assert_true(put(shape, 1, key, FULL));
+    }
+    for (uint64_t key = 100; key < 1100; key++) {
+        put(shape, 1, key, 42);
+    }
+    assert_true(shape_bytes(shape) <= (size_t)2 * 4 * FULL);
+    assert_true(shape_counters(shape)->dropped > 0);
+    shape_free(shape);
+}
+
 static void
 test_no_rate(void **state)
 {
@@ -147,6 +168,7 @@
         cmocka_unit_test(test_short_first),
         cmocka_unit_test(test_copy_left_out),
         cmocka_unit_test(test_bound),
+        cmocka_unit_test(test_short_packets_bounded),
         cmocka_unit_test(test_no_rate),
     };
 
