--- a/model/model_place.c
+++ b/model/model_place.c
@@ -60,7 +60,7 @@
 
     memset(&command.u.target, 0, sizeof(command.u.target));
     command.u.target.host = target + 1;
-    command.u.target.born = world->now_us + 1;
+    command.u.target.incarnation = world->now_us + 1;
     command.u.target.sequence = world->index + 1;
     command.u.target.address = 0x0a000001U + target;
     command.u.target.port = 80;
--- a/src/affinity/affinity.c
+++ b/src/affinity/affinity.c
@@ -90,7 +90,7 @@
         (const guint32 *)&own->seed, sizeof(own->seed) / sizeof(guint32));
     core->loads =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    core->habits =
+    core->uses =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     core->flows = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
     return core;
@@ -104,7 +104,7 @@
         return;
     }
     g_hash_table_destroy(core->loads);
-    g_hash_table_destroy(core->habits);
+    g_hash_table_destroy(core->uses);
     g_hash_table_destroy(core->flows);
     g_rand_free(core->rand);
     g_free(core);
--- a/src/affinity/affinity_flow.c
+++ b/src/affinity/affinity_flow.c
@@ -4,9 +4,9 @@
 #include "affinity/affinity_state.h"
 
 #define BUSY_LIMIT_US 5000000 /* a request is not followed for longer */
-#define HABIT_FLOWS   64      /* flows after which older ones count half */
+#define USE_FLOWS     64      /* flows after which older ones count half */
 
-static struct affinity_habit *habit_of(struct affinity_core *, uint64_t);
+static struct affinity_route_use *use_of(struct affinity_core *, uint64_t);
 static struct affinity_key key_of(const struct affinity_packet *);
 static void set_busy(struct affinity_core *, struct affinity_flow *, bool);
 static void note_request(struct affinity_core *, uint64_t,
@@ -27,26 +27,26 @@
     return key;
 }
 
-static struct affinity_habit *
-habit_of(struct affinity_core *core, uint64_t route)
+static struct affinity_route_use *
+use_of(struct affinity_core *core, uint64_t route)
 {
-    struct affinity_habit *habit = g_hash_table_lookup(core->habits, &route);
+    struct affinity_route_use *use = g_hash_table_lookup(core->uses, &route);
 
-    if (habit == NULL) {
-        habit = g_new0(struct affinity_habit, 1);
-        habit->route = route;
-        g_hash_table_insert(core->habits, &habit->route, habit);
+    if (use == NULL) {
+        use = g_new0(struct affinity_route_use, 1);
+        use->route = route;
+        g_hash_table_insert(core->uses, &use->route, use);
     }
-    return habit;
+    return use;
 }
 
 /* True if most flows of ROUTE carry several requests. */
 bool
 affinity_flow_lasts(struct affinity_core *core, uint64_t route)
 {
-    const struct affinity_habit *habit = habit_of(core, route);
+    const struct affinity_route_use *use = use_of(core, route);
 
-    return habit->repeated * 2 > habit->flows;
+    return use->repeated * 2 > use->flows;
 }
 
 /* The flow of PACKET, or NULL if it is not followed here. */
@@ -66,7 +66,7 @@
                    const struct catalog_route *route, uint64_t host)
 {
     struct affinity_flow *flow;
-    struct affinity_habit *habit = habit_of(core, route->key);
+    struct affinity_route_use *use = use_of(core, route->key);
 
     if (g_hash_table_size(core->flows) >= core->options.flows_max) {
         core->counters.untracked++;
@@ -80,9 +80,9 @@
     flow->opened_us = now_us;
     flow->seen_us = now_us;
     flow->lasting = affinity_flow_lasts(core, route->key);
-    if (++habit->flows > HABIT_FLOWS) {
-        habit->flows /= 2;
-        habit->repeated /= 2;
+    if (++use->flows > USE_FLOWS) {
+        use->flows /= 2;
+        use->repeated /= 2;
     }
     g_hash_table_insert(core->flows, &flow->key, flow);
     if (flow->lasting) {
@@ -129,7 +129,7 @@
     if (!flow->busy || flow->requests == 0) {
         flow->requests++;
         if (flow->requests == 2) {
-            habit_of(core, flow->route)->repeated++;
+            use_of(core, flow->route)->repeated++;
         }
     }
     flow->request_us = now_us;
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -47,7 +47,7 @@
 };
 
 /* How the flows of a route have behaved; tells whether they last. */
-struct affinity_habit {
+struct affinity_route_use {
     uint64_t route;
     uint32_t flows;
     uint32_t repeated; /* flows with a second request */
@@ -56,9 +56,9 @@
 struct affinity_core {
     struct affinity_options options;
     GRand *rand;
-    GHashTable *loads;  /* host -> struct affinity_load */
-    GHashTable *flows;  /* key -> struct affinity_flow */
-    GHashTable *habits; /* route -> struct affinity_habit */
+    GHashTable *loads; /* host -> struct affinity_load */
+    GHashTable *flows; /* key -> struct affinity_flow */
+    GHashTable *uses;  /* route -> struct affinity_route_use */
     uint64_t sweep_us;
     uint64_t turn_us;  /* when this daemon last did anything */
     uint64_t stale_us; /* openings read before have waited for too long */
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -151,20 +151,21 @@
     return x->host < y->host ? -1 : x->host > y->host;
 }
 
-/* True if A keeps a cookie that both have: it was born first. */
+/* True if A keeps a cookie that both have: it started first. */
 static bool
 goes_before(const struct catalog_target *a, const struct catalog_target *b)
 {
     if ((a->state == CATALOG_GONE) != (b->state == CATALOG_GONE)) {
         return b->state == CATALOG_GONE;
     }
-    return a->born != b->born ? a->born < b->born : a->host < b->host;
+    return a->incarnation != b->incarnation ? a->incarnation < b->incarnation
+                                            : a->host < b->host;
 }
 
 /*
  * Enter TARGET into the indexes.  Cookies of targets that are gone are found
  * too, but give way to living ones.  Where two living targets have one cookie,
- * the one that was born later gets no flows; all daemons see that alike.
+ * the one that started later gets no flows; all daemons see that alike.
  */
 static void
 index_target(struct catalog *catalog, struct catalog_target *target)
@@ -280,11 +281,11 @@
     return name == NULL ? "unknown" : name;
 }
 
-/* CATALOG_SEATS_MAX seats. */
-const struct catalog_seat *
-catalog_seats(const struct catalog *catalog)
+/* CATALOG_VOTERS_MAX voters. */
+const struct catalog_voter *
+catalog_voters(const struct catalog *catalog)
 {
-    return catalog->seats;
+    return catalog->voters;
 }
 
 /* The route in force for KEY, or NULL. */
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -1,6 +1,6 @@
 /*
  * The catalog: the routes that operators have put in force as a whole, the
- * targets that have announced themselves, and the seats of the voters.  On
+ * targets that have announced themselves, and which daemons are voters.  On
  * control daemons it is the state machine behind the replicated log; entry
  * daemons hold a replica of it that only moves forward.
  *
@@ -19,7 +19,7 @@
 #include "base/view.h"
 
 #define CATALOG_SPLITS_MAX  8
-#define CATALOG_SEATS_MAX   5
+#define CATALOG_VOTERS_MAX  5
 #define CATALOG_REMOVED_MAX 4096 /* rows that were removed and are kept */
 
 /* What may be repeated of the requests that a route carries. */
@@ -55,9 +55,9 @@
 };
 
 struct catalog_target {
-    uint64_t host;     /* identity that the host itself checks */
-    uint64_t born;     /* start of this incarnation, Unix ms */
-    uint64_t sequence; /* of its last announcement that changed something */
+    uint64_t host;        /* identity that the host itself checks */
+    uint64_t incarnation; /* its start, Unix ms; 0 if unknown */
+    uint64_t sequence;    /* of its last announcement that changed something */
     uint32_t address;
     uint16_t port;
     struct pool_id pool;
@@ -71,9 +71,9 @@
     bool cookie_clashes; /* an earlier target has the cookie */
 };
 
-/* Which daemon holds a voter's seat. */
-struct catalog_seat {
-    uint32_t address; /* 0 for a vacant seat */
+/* Which daemon is a voter. */
+struct catalog_voter {
+    uint32_t address; /* 0 for none yet */
     uint64_t revision;
 };
 
@@ -91,7 +91,7 @@
     CATALOG_ANNOUNCE, /* a target says what it is */
     CATALOG_LEAVE,    /* a target says that it ends */
     CATALOG_PRESENCE, /* announcements of a target are missing, or back */
-    CATALOG_SEAT,     /* a voter's seat is given to another daemon */
+    CATALOG_VOTER,    /* another daemon replaces a voter */
     CATALOG_COMMAND__MAX
 };
 
@@ -103,7 +103,7 @@
         struct {
             size_t index;
             uint32_t address;
-        } seat;
+        } voter;
     } u;
 };
 
@@ -111,7 +111,7 @@
 struct catalog_change {
     bool tables;
     bool targets;
-    bool seats;
+    bool voters;
 };
 
 struct catalog;
@@ -133,7 +133,7 @@
 uint32_t catalog_idle_ms(const struct catalog *);
 GBytes *catalog_document(const struct catalog *);
 const char *catalog_pool_name(const struct catalog *, struct pool_id);
-const struct catalog_seat *catalog_seats(const struct catalog *);
+const struct catalog_voter *catalog_voters(const struct catalog *);
 
 const struct catalog_route *catalog_find_route(const struct catalog *,
                                                uint64_t key);
--- a/src/catalog/catalog_apply.c
+++ b/src/catalog/catalog_apply.c
@@ -27,7 +27,7 @@
               const struct catalog_command *command,
               struct catalog_change *change)
 {
-    struct catalog_seat *seat;
+    struct catalog_voter *voter;
 
     memset(change, 0, sizeof(*change));
     if (index <= catalog->revision) {
@@ -46,12 +46,12 @@
     case CATALOG_PRESENCE:
         change->targets = note_presence(catalog, index, &command->u.target);
         break;
-    case CATALOG_SEAT:
-        if (command->u.seat.index < CATALOG_SEATS_MAX) {
-            seat = &catalog->seats[command->u.seat.index];
-            seat->address = command->u.seat.address;
-            seat->revision = index;
-            change->seats = true;
+    case CATALOG_VOTER:
+        if (command->u.voter.index < CATALOG_VOTERS_MAX) {
+            voter = &catalog->voters[command->u.voter.index];
+            voter->address = command->u.voter.address;
+            voter->revision = index;
+            change->voters = true;
         }
         break;
     case CATALOG_COMMAND__MAX:
@@ -155,7 +155,7 @@
 /*
  * True if TARGET, an announcement, is older than what is known: of an earlier
  * incarnation, out of order, after the end of its incarnation, or of a host
- * whose address has passed to one born later.
+ * whose address has passed to one that started later.
  */
 static bool
 is_late(const struct catalog *catalog, const struct catalog_target *target)
@@ -165,15 +165,15 @@
     const struct catalog_target *other =
         catalog_at_address(catalog, target->address, target->port);
 
-    if (held != NULL && target->born < held->born) {
+    if (held != NULL && target->incarnation < held->incarnation) {
         return true;
     }
-    if (held != NULL && target->born == held->born &&
+    if (held != NULL && target->incarnation == held->incarnation &&
         (held->state == CATALOG_GONE || target->sequence <= held->sequence)) {
         return true;
     }
     return other != NULL && other->host != target->host &&
-           other->born > target->born;
+           other->incarnation > target->incarnation;
 }
 
 /* True if applying an announcement would change more than its sequence. */
@@ -187,7 +187,7 @@
     if (is_late(catalog, target)) {
         return false;
     }
-    return held == NULL || held->born != target->born ||
+    return held == NULL || held->incarnation != target->incarnation ||
            held->address != target->address || held->port != target->port ||
            held->pool.value != target->pool.value ||
            held->zone != target->zone || held->slots != target->slots ||
@@ -228,7 +228,8 @@
     struct catalog_target row;
 
     if (held == NULL || held->state == CATALOG_GONE ||
-        (target->born != 0 && target->born < held->born)) {
+        (target->incarnation != 0 &&
+         target->incarnation < held->incarnation)) {
         return false;
     }
     row = *held;
@@ -246,7 +247,7 @@
         catalog_find_target(catalog, target->host);
     struct catalog_target row;
 
-    if (held == NULL || held->born != target->born ||
+    if (held == NULL || held->incarnation != target->incarnation ||
         held->missing == target->missing || held->state == CATALOG_GONE) {
         return false;
     }
--- a/src/catalog/catalog_state.h
+++ b/src/catalog/catalog_state.h
@@ -19,7 +19,7 @@
     GHashTable *addresses; /* address and port -> living target */
     GPtrArray *sorted;     /* targets by host */
     unsigned clashes;      /* targets without their cookie */
-    struct catalog_seat seats[CATALOG_SEATS_MAX];
+    struct catalog_voter voters[CATALOG_VOTERS_MAX];
 };
 
 void catalog_reset(struct catalog *);
--- a/src/catalog/catalog_update.c
+++ b/src/catalog/catalog_update.c
@@ -85,8 +85,8 @@
         add_pools(catalog, update);
     }
     if (scope == CATALOG_COMPLETE) {
-        for (size_t i = 0; i < CATALOG_SEATS_MAX; i++) {
-            catalog_wire_add_seat(update, i, &catalog->seats[i]);
+        for (size_t i = 0; i < CATALOG_VOTERS_MAX; i++) {
+            catalog_wire_add_voter(update, i, &catalog->voters[i]);
         }
     }
     if (scope == CATALOG_COMPLETE && catalog->document != NULL &&
@@ -134,10 +134,10 @@
     catalog->version = update->version;
     catalog->idle_ms = update->idle_ms;
     catalog->tables_revision = update->tables_revision;
-    for (size_t i = 0; i < update->n_seats; i++) {
-        if (update->seats[i]->seat < CATALOG_SEATS_MAX) {
-            catalog->seats[update->seats[i]->seat] = (struct catalog_seat){
-                update->seats[i]->address, update->seats[i]->revision};
+    for (size_t i = 0; i < update->n_voters; i++) {
+        if (update->voters[i]->voter < CATALOG_VOTERS_MAX) {
+            catalog->voters[update->voters[i]->voter] = (struct catalog_voter){
+                update->voters[i]->address, update->voters[i]->revision};
         }
     }
     if (update->document.len > 0) {
@@ -175,7 +175,7 @@
         }
         change->tables = update->tables_revision != catalog->tables_revision;
         change->targets = update->n_targets > 0 || update->whole;
-        change->seats = update->n_seats > 0;
+        change->voters = update->n_voters > 0;
         ok = merge_rows(catalog, update);
         merge_head(catalog, update);
     }
--- a/src/fleet/fleet_calls.c
+++ b/src/fleet/fleet_calls.c
@@ -36,7 +36,7 @@
         break;
     case FLEET_CALL_READY:
         fleet_answer(fleet, request->handle,
-                     fleet_greet_in_touch(fleet) ? 200 : 503, NULL);
+                     fleet_heartbeat_in_touch(fleet) ? 200 : 503, NULL);
         break;
     case FLEET_CALL_BAD:
         refuse(fleet, request, 400, call.u.fault);
@@ -74,7 +74,7 @@
     struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL,
                                   .what = "announcement"};
 
-    if (!fleet_greet_in_touch(fleet)) {
+    if (!fleet_heartbeat_in_touch(fleet)) {
         fleet_answer(fleet, request->handle, 503,
                      "cut off from the leader; ask another daemon");
         return;
@@ -89,10 +89,10 @@
     fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "announcement",
                    "\"target\":\"%" G_GINT64_MODIFIER
                    "x\",\"pool\":\"%" G_GINT64_MODIFIER
-                   "x\",\"state\":%d,\"born\":%" G_GUINT64_FORMAT
+                   "x\",\"state\":%d,\"incarnation\":%" G_GUINT64_FORMAT
                    ",\"sequence\":%" G_GUINT64_FORMAT,
                    target->host, target->pool.value, target->state,
-                   target->born, target->sequence);
+                   target->incarnation, target->sequence);
     fleet_request_command(fleet, &command, &waiter);
 }
 
@@ -106,7 +106,7 @@
     struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL, .what = "leave"};
 
     if (held != NULL && held->state == CATALOG_GONE &&
-        target->born <= held->born) {
+        target->incarnation <= held->incarnation) {
         fleet_answer(fleet, request->handle, 200, NULL);
         return;
     }
--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -1,5 +1,5 @@
 /*
- * The control role: a seat in the replicated log if the daemon has one, the
+ * The control role: a voter of the replicated log if the daemon is one, the
  * other control daemons, and the calls of operators and targets.
  */
 #include "base/err.h"
@@ -10,7 +10,7 @@
 static void answer_confirm(struct fleet *, const struct fleet_peer *,
                            const Parsleyspur__FleetConfirm *);
 
-/* Start the role: the seat held before, a founder's, or none yet. */
+/* Start the role: the voter it was before, a founder, or none yet. */
 bool
 fleet_control_start(struct fleet *fleet, GError **error)
 {
@@ -39,14 +39,14 @@
                     "the control role needs a data folder; name one");
         return false;
     }
-    if (fleet_seat_file_read(fleet)) {
-        fleet_seat_remove_logs(fleet);
-        if (control->seat != 0 && !fleet_quorum_open(fleet, false, error)) {
+    if (fleet_voter_file_read(fleet)) {
+        fleet_voter_remove_logs(fleet);
+        if (control->voter != 0 && !fleet_quorum_open(fleet, false, error)) {
             return false;
         }
     }
     else if (fleet->options->first_start) {
-        fleet_seat_found(fleet);
+        fleet_voter_found(fleet);
     }
     fleet->http = http_server_new(&http, error);
     return fleet->http != NULL;
@@ -77,8 +77,8 @@
 {
     struct catalog_change change;
 
-    if (message->greeting != NULL) {
-        fleet_greet_take(fleet, peer, message->greeting);
+    if (message->heartbeat != NULL) {
+        fleet_heartbeat_take(fleet, peer, message->heartbeat);
     }
     if (message->quorum != NULL) {
         fleet_quorum_message(fleet, peer, message->quorum);
@@ -107,23 +107,23 @@
     if (message->heard != NULL) {
         fleet_presence_told(fleet, message->heard);
     }
-    if (message->update.len > 0 && fleet->control->seat == 0 &&
+    if (message->update.len > 0 && fleet->control->voter == 0 &&
         !catalog_merge(fleet->catalog, message->update.data,
                        message->update.len, &change)) {
         counter_add(&fleet->counters, COUNTER_PEER_BAD_FRAMES, 1);
     }
-    fleet_seat_follow(fleet);
+    fleet_voter_follow(fleet);
 }
 
 void
 fleet_control_tick(struct fleet *fleet, uint64_t now_us)
 {
     fleet_quorum_tick(fleet, now_us);
-    fleet_greet_all(fleet, now_us);
+    fleet_heartbeat_all(fleet, now_us);
     fleet_request_tick(fleet, now_us);
     fleet_presence_tick(fleet, now_us);
-    fleet_seat_replace_lost(fleet, now_us);
-    fleet_seat_follow(fleet);
+    fleet_voter_replace_lost(fleet, now_us);
+    fleet_voter_follow(fleet);
     if (fleet->control->quorum != NULL) {
         fleet_feed_all(fleet, now_us);
     }
@@ -165,12 +165,12 @@
 {
     const struct fleet_control *control = fleet->control;
     struct counter_extra extra[] = {
-        {"quorum_seat", "The seat held, 0 for none.", "gauge",
-         (double)control->seat},
+        {"quorum_voter", "Which voter this daemon is, 0 for none.", "gauge",
+         (double)control->voter},
         {"quorum_leading", "Whether this daemon leads.", "gauge",
          control->leading ? 1 : 0},
         {"quorum_lag_ms", "Since the leader was heard.", "gauge",
-         (double)fleet_greet_lag_us(fleet, fleet_now_us()) / 1000},
+         (double)fleet_heartbeat_lag_us(fleet, fleet_now_us()) / 1000},
         {"calls_unavailable_total", "Calls without a majority in time.",
          "counter", (double)control->unavailable},
         {"announcements_total", "Announcements of targets.", "counter",
--- a/src/fleet/fleet_control_private.h
+++ b/src/fleet/fleet_control_private.h
@@ -6,7 +6,7 @@
 #include "fleet/fleet_private.h"
 #include "quorum/quorum_core.h"
 
-#define FLEET_HEARTBEAT_US 100000U /* of the log's leader */
+#define FLEET_LOG_HEARTBEAT_US 100000U /* of the log's leader */
 
 /* Who waits for a command or a confirmation. */
 enum fleet_waiter_kind {
@@ -39,16 +39,16 @@
 };
 
 struct fleet_control {
-    struct quorum_core *quorum; /* NULL without a seat */
+    struct quorum_core *quorum; /* NULL if this is no voter */
     struct store *store;
-    size_t seat; /* from 1; 0 for none */
-    size_t seat_count;
-    struct catalog_seat seats[CATALOG_SEATS_MAX]; /* the latest known */
-    bool formed;      /* the seats are those of a fleet that has formed */
+    size_t voter; /* which one this is, from 1; 0 for none */
+    size_t voter_count;
+    struct catalog_voter voters[CATALOG_VOTERS_MAX]; /* latest known */
+    bool formed;      /* the voters are those of a fleet that has formed */
     bool leading;     /* leads, and has applied all committed before */
     uint64_t look_us; /* when to look at space and failures next */
-    uint64_t seat_change_us;
-    size_t seat_changed;
+    uint64_t voter_change_us;
+    size_t voter_changed;
     uint32_t log_number; /* of the log's folder */
 
     GHashTable *requests; /* id -> struct fleet_request */
@@ -66,20 +66,20 @@
     uint64_t latency[COUNTER_BUCKETS]; /* of answered calls */
 };
 
-/* fleet_greet.c: what daemons tell each other at intervals */
-uint32_t fleet_greet_leader(const struct fleet *);
-uint64_t fleet_greet_lag_us(const struct fleet *, uint64_t now_us);
-bool fleet_greet_in_touch(const struct fleet *);
-void fleet_greet_all(struct fleet *, uint64_t now_us);
-void fleet_greet_take(struct fleet *, struct fleet_peer *,
-                      const Parsleyspur__FleetGreeting *);
-
-/* fleet_seat.c: the seat held, and who holds the others */
-void fleet_seat_found(struct fleet *);
-void fleet_seat_follow(struct fleet *);
-void fleet_seat_adopt(struct fleet *, size_t index, uint32_t address,
-                      uint64_t revision);
-void fleet_seat_replace_lost(struct fleet *, uint64_t now_us);
+/* fleet_heartbeat.c: what daemons tell each other at intervals */
+uint32_t fleet_heartbeat_leader(const struct fleet *);
+uint64_t fleet_heartbeat_lag_us(const struct fleet *, uint64_t now_us);
+bool fleet_heartbeat_in_touch(const struct fleet *);
+void fleet_heartbeat_all(struct fleet *, uint64_t now_us);
+void fleet_heartbeat_take(struct fleet *, struct fleet_peer *,
+                          const Parsleyspur__FleetHeartbeat *);
+
+/* fleet_voter.c: which daemons are the voters */
+void fleet_voter_found(struct fleet *);
+void fleet_voter_follow(struct fleet *);
+void fleet_voter_adopt(struct fleet *, size_t index, uint32_t address,
+                       uint64_t revision);
+void fleet_voter_replace_lost(struct fleet *, uint64_t now_us);
 
 /* fleet_quorum.c: the replicated log */
 bool fleet_quorum_open(struct fleet *, bool may_found, GError **);
@@ -91,11 +91,11 @@
 void fleet_quorum_propose(struct fleet *, uint64_t request, const uint8_t *,
                           size_t);
 
-/* fleet_seat_file.c: the seats, kept on disk */
-bool fleet_seat_file_read(struct fleet *);
-void fleet_seat_file_write(struct fleet *);
-char *fleet_seat_log_folder(const struct fleet *);
-void fleet_seat_remove_logs(struct fleet *);
+/* fleet_voter_file.c: which they are, kept on disk */
+bool fleet_voter_file_read(struct fleet *);
+void fleet_voter_file_write(struct fleet *);
+char *fleet_voter_log_folder(const struct fleet *);
+void fleet_voter_remove_logs(struct fleet *);
 
 /* fleet_request.c: commands and reads that wait */
 void fleet_request_command(struct fleet *, const struct catalog_command *,
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -7,11 +7,11 @@
 #include "base/hash.h"
 #include "fleet/fleet_entry_private.h"
 
-#define GREET_US      1000000U /* between greetings of control daemons */
+#define HEARTBEAT_US  1000000U /* between heartbeats of control daemons */
 #define CURRENT_US    1500000U /* a control daemon's lag that is no lag */
-#define SEARCH_MIN_US 100000U  /* between greetings until there is a catalog */
+#define SEARCH_MIN_US 100000U /* between heartbeats until there is a catalog */
 #define SEARCH_GROWTH 1.5     /* after each in vain: many may search at once */
-#define SEARCH_COUNT  3U      /* control daemons greeted at a time */
+#define SEARCH_COUNT  3U      /* control daemons asked at a time */
 #define STALE_WAIT_US 300000U /* for a current control daemon, at the start */
 #define STOP_MIN_US   1200000U /* the fabric asks twice before it moves flows */
 #define STOP_QUIET_US 700000U /* without a packet: the fabric has moved them */
@@ -22,11 +22,11 @@
 static bool is_current(const struct fleet_peer *, uint64_t now_us);
 static bool any_current(const struct fleet *, uint64_t now_us);
 static void consider_ready(struct fleet *, uint64_t now_us);
-static uint64_t greet_interval_us(struct fleet_entry *);
+static uint64_t heartbeat_interval_us(struct fleet_entry *);
 static gint by_preference(gconstpointer, gconstpointer, gpointer);
 static void choose_feeds(struct fleet *, uint64_t now_us);
-static void greet(struct fleet *, uint32_t address, uint32_t rank);
-static void greet_feeds(struct fleet *, uint64_t now_us);
+static void send_heartbeat(struct fleet *, uint32_t address, uint32_t rank);
+static void heartbeat_feeds(struct fleet *, uint64_t now_us);
 static void take_update(struct fleet *, const struct fleet_peer *,
                         const ProtobufCBinaryData *);
 static void log_connection(struct fleet *, uint64_t now_us);
@@ -109,7 +109,7 @@
 static bool
 is_current(const struct fleet_peer *peer, uint64_t now_us)
 {
-    return fleet_peer_is_fresh(peer, now_us) && peer->seat != 0 &&
+    return fleet_peer_is_fresh(peer, now_us) && peer->voter != 0 &&
            peer->lag_us < CURRENT_US;
 }
 
@@ -179,14 +179,14 @@
 
         if (entry->feed_count < FLEET_FEEDS_MAX &&
             (is_current(peer, now_us) ||
-             (stale && peer->seat != 0 &&
+             (stale && peer->voter != 0 &&
               fleet_peer_is_fresh(peer, now_us)))) {
             entry->feeds[entry->feed_count++] = peer->address;
         }
         else if (entry->feed_count + searched < SEARCH_COUNT ||
                  g_random_int_range(0, (gint32)controls->len) == 0) {
             searched++;
-            greet(fleet, peer->address, FLEET_FEEDS_MAX);
+            send_heartbeat(fleet, peer->address, FLEET_FEEDS_MAX);
         }
     }
     g_ptr_array_unref(controls);
@@ -194,26 +194,26 @@
 
 /* Tell a control daemon what this daemon holds; that confirms it, too. */
 static void
-greet(struct fleet *fleet, uint32_t address, uint32_t rank)
+send_heartbeat(struct fleet *fleet, uint32_t address, uint32_t rank)
 {
     Parsleyspur__FleetMessage message = PARSLEYSPUR__FLEET_MESSAGE__INIT;
-    Parsleyspur__FleetGreeting greeting = PARSLEYSPUR__FLEET_GREETING__INIT;
+    Parsleyspur__FleetHeartbeat heartbeat = PARSLEYSPUR__FLEET_HEARTBEAT__INIT;
 
-    greeting.revision = catalog_revision(fleet->catalog);
-    greeting.rank = rank;
-    greeting.zone = fleet->zone;
-    message.greeting = &greeting;
+    heartbeat.revision = catalog_revision(fleet->catalog);
+    heartbeat.rank = rank;
+    heartbeat.zone = fleet->zone;
+    message.heartbeat = &heartbeat;
     fleet_send(fleet, address, &message);
 }
 
 static void
-greet_feeds(struct fleet *fleet, uint64_t now_us)
+heartbeat_feeds(struct fleet *fleet, uint64_t now_us)
 {
     struct fleet_entry *entry = fleet->entry;
 
     choose_feeds(fleet, now_us);
     for (size_t i = 0; i < entry->feed_count; i++) {
-        greet(fleet, entry->feeds[i], (uint32_t)i);
+        send_heartbeat(fleet, entry->feeds[i], (uint32_t)i);
     }
 }
 
@@ -276,18 +276,18 @@
                    current ? "true" : "false");
 }
 
-/* Until the next greetings; longer and longer while nothing is found. */
+/* Until the next heartbeats; longer and longer while nothing is found. */
 static uint64_t
-greet_interval_us(struct fleet_entry *entry)
+heartbeat_interval_us(struct fleet_entry *entry)
 {
     uint64_t search_us = MAX(entry->search_us, SEARCH_MIN_US);
 
     if (!entry->synced) {
         entry->search_us =
-            MIN((uint64_t)((double)search_us * SEARCH_GROWTH), GREET_US);
+            MIN((uint64_t)((double)search_us * SEARCH_GROWTH), HEARTBEAT_US);
         return search_us;
     }
-    return entry->feed_count == 0 ? FLEET_GREET_FAST_US : GREET_US;
+    return entry->feed_count == 0 ? FLEET_HEARTBEAT_FAST_US : HEARTBEAT_US;
 }
 
 void
@@ -295,9 +295,9 @@
 {
     struct fleet_entry *entry = fleet->entry;
 
-    if (now_us >= entry->greet_us) {
-        greet_feeds(fleet, now_us);
-        entry->greet_us = now_us + greet_interval_us(entry);
+    if (now_us >= entry->heartbeat_us) {
+        heartbeat_feeds(fleet, now_us);
+        entry->heartbeat_us = now_us + heartbeat_interval_us(entry);
     }
     consider_ready(fleet, now_us);
     log_connection(fleet, now_us);
@@ -330,7 +330,7 @@
         g_free(from);
     }
     for (size_t i = 0; i < fleet->entry->feed_count; i++) {
-        greet(fleet, fleet->entry->feeds[i], (uint32_t)i);
+        send_heartbeat(fleet, fleet->entry->feeds[i], (uint32_t)i);
     }
 }
 
@@ -342,8 +342,8 @@
     struct fleet_entry *entry = fleet->entry;
     uint64_t now_us = fleet_now_us();
 
-    if (message->greeting != NULL) {
-        fleet_peer_heard(fleet, peer, message->greeting);
+    if (message->heartbeat != NULL) {
+        fleet_peer_heard(fleet, peer, message->heartbeat);
         if (entry->found_us == 0) {
             entry->found_us = now_us;
         }
--- a/src/fleet/fleet_entry_private.h
+++ b/src/fleet/fleet_entry_private.h
@@ -9,10 +9,10 @@
 struct fleet_entry {
     struct affinity_core *affinity;
     bool synced;         /* has a catalog to place flows by */
-    uint64_t search_us;  /* between greetings, while there is none */
+    uint64_t search_us;  /* between heartbeats, while there is none */
     uint64_t found_us;   /* when a control daemon was first heard; 0: never */
     uint64_t current_us; /* when a current control daemon was last heard */
-    uint64_t greet_us;
+    uint64_t heartbeat_us;
     uint32_t feeds[FLEET_FEEDS_MAX]; /* addresses, the first feeds at once */
     size_t feed_count;
     bool connected; /* to a current control daemon, as last logged */
--- a/src/fleet/fleet_feed.c
+++ b/src/fleet/fleet_feed.c
@@ -1,5 +1,5 @@
 /*
- * The catalog's way to entry daemons, and to control daemons without a seat:
+ * The catalog's way to entry daemons, and to control daemons that do not vote:
  * each gets the rows that are newer than what it has confirmed.  An entry
  * daemon asks several control daemons, of which the first sends at once and
  * the others only when its confirmation does not come.
@@ -80,7 +80,7 @@
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         struct fleet_peer *peer = value;
 
-        if (peer->rank >= FLEET_FEEDS_MAX || peer->seat != 0 ||
+        if (peer->rank >= FLEET_FEEDS_MAX || peer->voter != 0 ||
             !fleet_peer_is_fresh(peer, now_us)) {
             peer->behind_us = 0;
             continue;
--- /dev/null
+++ b/src/fleet/fleet_heartbeat.c
@@ -0,0 +1,181 @@
+/*
+ * What control daemons tell each other at intervals, and entry daemons in
+ * answer: voters, leader, lag, and which others are known.
+ */
+#include "fleet/fleet_control_private.h"
+
+#define LAG_UNKNOWN_MS UINT32_MAX
+
+static void fill_heartbeat(struct fleet *, Parsleyspur__FleetHeartbeat *,
+                           uint64_t now_us);
+static void send_heartbeat(struct fleet *, uint32_t address, bool answer);
+static void take_voters(struct fleet *, const Parsleyspur__FleetHeartbeat *);
+
+/* The address of the leader, as far as this daemon knows; 0 if unknown. */
+uint32_t
+fleet_heartbeat_leader(const struct fleet *fleet)
+{
+    const struct fleet_control *control = fleet->control;
+    uint64_t now_us = fleet_now_us();
+    GHashTableIter iter;
+    gpointer key, value;
+
+    if (control->quorum != NULL) {
+        uint64_t voter = quorum_core_leader(control->quorum).value;
+
+        return voter == 0 ? 0 : control->voters[voter - 1].address;
+    }
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct fleet_peer *peer = value;
+
+        if (peer->control && peer->voter != 0 && peer->lag_us == 0 &&
+            peer->leader == peer->address &&
+            fleet_peer_is_fresh(peer, now_us)) {
+            return peer->address;
+        }
+    }
+    return 0;
+}
+
+/* Microseconds since the leader was heard; very many if it is unknown. */
+uint64_t
+fleet_heartbeat_lag_us(const struct fleet *fleet, uint64_t now_us)
+{
+    const struct fleet_control *control = fleet->control;
+    const struct fleet_peer *leader;
+    uint32_t address;
+
+    if (control->quorum != NULL) {
+        return quorum_core_leader_lag_us(control->quorum, now_us);
+    }
+    address = fleet_heartbeat_leader(fleet);
+    leader = g_hash_table_lookup(fleet->peers, GUINT_TO_POINTER(address));
+    return leader == NULL ? UINT32_MAX
+                          : fleet_elapsed_us(now_us, leader->heard_us);
+}
+
+/* Whether what is told to this daemon becomes known to the leader. */
+bool
+fleet_heartbeat_in_touch(const struct fleet *fleet)
+{
+    return fleet_heartbeat_lag_us(fleet, fleet_now_us()) < FLEET_FRESH_US;
+}
+
+static void
+fill_heartbeat(struct fleet *fleet, Parsleyspur__FleetHeartbeat *heartbeat,
+               uint64_t now_us)
+{
+    const struct fleet_control *control = fleet->control;
+    uint64_t lag_ms = fleet_heartbeat_lag_us(fleet, now_us) / 1000;
+    GHashTableIter iter;
+    gpointer key, value;
+
+    heartbeat->control = true;
+    heartbeat->zone = fleet->zone;
+    heartbeat->revision = control->quorum == NULL
+                              ? catalog_revision(fleet->catalog)
+                              : catalog_changed(fleet->catalog);
+    heartbeat->leader = fleet_heartbeat_leader(fleet);
+    heartbeat->lag_ms = (uint32_t)MIN(lag_ms, LAG_UNKNOWN_MS);
+    heartbeat->voter = control->quorum == NULL ? 0 : (uint32_t)control->voter;
+    heartbeat->empty = control->voter == 0;
+    heartbeat->members_known = control->formed;
+    heartbeat->voter_count = (uint32_t)control->voter_count;
+    heartbeat->voters =
+        g_new0(Parsleyspur__CatalogVoter *, control->voter_count + 1);
+    for (size_t i = 0; i < control->voter_count; i++) {
+        heartbeat->voters[heartbeat->n_voters++] =
+            catalog_wire_voter(i, &control->voters[i]);
+    }
+    heartbeat->controls =
+        g_new0(uint32_t, g_hash_table_size(fleet->peers) + 1);
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct fleet_peer *peer = value;
+
+        if (peer->control && fleet_peer_is_fresh(peer, now_us)) {
+            heartbeat->controls[heartbeat->n_controls++] = peer->address;
+        }
+    }
+}
+
+static void
+send_heartbeat(struct fleet *fleet, uint32_t address, bool answer)
+{
+    Parsleyspur__FleetMessage *message = g_malloc0(sizeof(*message));
+    uint64_t now_us = fleet_now_us();
+
+    parsleyspur__fleet_message__init(message);
+    message->heartbeat = g_malloc0(sizeof(*message->heartbeat));
+    parsleyspur__fleet_heartbeat__init(message->heartbeat);
+    fill_heartbeat(fleet, message->heartbeat, now_us);
+    message->heartbeat->answer = answer;
+    message->heartbeat->rank =
+        address == message->heartbeat->leader ? 0 : FLEET_FEEDS_MAX;
+    fleet_send(fleet, address, message);
+    parsleyspur__fleet_message__free_unpacked(message, NULL);
+}
+
+void
+fleet_heartbeat_all(struct fleet *fleet, uint64_t now_us)
+{
+    GArray *addresses = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    GHashTableIter iter;
+    gpointer key, value;
+
+    if (now_us < fleet->heartbeat_us) {
+        g_array_unref(addresses);
+        return;
+    }
+    fleet->heartbeat_us =
+        now_us + (fleet_heartbeat_in_touch(fleet) ? FLEET_HEARTBEAT_US
+                                                  : FLEET_HEARTBEAT_FAST_US);
+    g_hash_table_iter_init(&iter, fleet->peers);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        if (((const struct fleet_peer *)value)->control) {
+            g_array_append_val(addresses,
+                               ((struct fleet_peer *)value)->address);
+        }
+    }
+    for (guint i = 0; i < addresses->len; i++) {
+        send_heartbeat(fleet, g_array_index(addresses, uint32_t, i), false);
+    }
+    g_array_unref(addresses);
+}
+
+/* Learn the voters from another daemon, if its fleet has formed. */
+static void
+take_voters(struct fleet *fleet, const Parsleyspur__FleetHeartbeat *heartbeat)
+{
+    struct fleet_control *control = fleet->control;
+
+    if (!heartbeat->members_known || heartbeat->voter_count == 0 ||
+        heartbeat->voter_count > CATALOG_VOTERS_MAX) {
+        return;
+    }
+    if (control->voter_count == 0) {
+        control->voter_count = heartbeat->voter_count;
+    }
+    for (size_t i = 0; i < heartbeat->n_voters; i++) {
+        const Parsleyspur__CatalogVoter *voter = heartbeat->voters[i];
+
+        if (voter->voter < control->voter_count && voter->address != 0) {
+            fleet_voter_adopt(fleet, voter->voter, voter->address,
+                              voter->revision);
+        }
+    }
+}
+
+void
+fleet_heartbeat_take(struct fleet *fleet, struct fleet_peer *peer,
+                     const Parsleyspur__FleetHeartbeat *heartbeat)
+{
+    fleet_peer_heard(fleet, peer, heartbeat);
+    if (heartbeat->control) {
+        take_voters(fleet, heartbeat);
+    }
+    else {
+        send_heartbeat(fleet, peer->address, true);
+    }
+}
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -19,9 +19,9 @@
 static void drain(struct fleet *);
 static void on_drain(uv_timer_t *);
 static uint64_t copy_key(const struct affinity_packet *);
-static void tell(struct fleet *, uint64_t now_us,
-                 const struct affinity_packet *,
-                 const struct affinity_verdict *);
+static void log_verdict(struct fleet *, uint64_t now_us,
+                        const struct affinity_packet *,
+                        const struct affinity_verdict *);
 
 static void
 alloc_input(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
@@ -152,9 +152,9 @@
 
 /* A line for a decision on an opening, a reset, or a packet that is lost. */
 static void
-tell(struct fleet *fleet, uint64_t now_us,
-     const struct affinity_packet *packet,
-     const struct affinity_verdict *verdict)
+log_verdict(struct fleet *fleet, uint64_t now_us,
+            const struct affinity_packet *packet,
+            const struct affinity_verdict *verdict)
 {
     static const char *const actions[AFFINITY_ACTION__MAX] = {
         [AFFINITY_FORWARD] = "forward",
@@ -216,7 +216,7 @@
     affinity_core_packet(entry->affinity, now_us, fleet->catalog, &packet,
                          &verdict);
     if (verdict.reason != AFFINITY_COOKIE) {
-        tell(fleet, now_us, &packet, &verdict);
+        log_verdict(fleet, now_us, &packet, &verdict);
     }
     out.key = copy_key(&packet);
     switch (verdict.action) {
--- a/src/fleet/fleet_peer.c
+++ b/src/fleet/fleet_peer.c
@@ -52,34 +52,34 @@
 /* Note what PEER says of itself, and the control daemons that it names. */
 void
 fleet_peer_heard(struct fleet *fleet, struct fleet_peer *peer,
-                 const Parsleyspur__FleetGreeting *greeting)
+                 const Parsleyspur__FleetHeartbeat *heartbeat)
 {
     uint64_t now_us = fleet_now_us();
 
-    if (greeting->control && !fleet_peer_is_fresh(peer, now_us)) {
+    if (heartbeat->control && !fleet_peer_is_fresh(peer, now_us)) {
         char *text = view_address_text(peer->address);
 
         fleet_log_line(
             fleet->log, FLEET_LOG_STATE, now_us, "control-daemon-heard",
-            "\"peer\":\"%s\",\"seat\":%u,\"revision\":%" G_GUINT64_FORMAT
+            "\"peer\":\"%s\",\"voter\":%u,\"revision\":%" G_GUINT64_FORMAT
             ",\"lag_ms\":%u",
-            text, greeting->seat, greeting->revision, greeting->lag_ms);
+            text, heartbeat->voter, heartbeat->revision, heartbeat->lag_ms);
         g_free(text);
     }
     peer->heard_us = now_us;
-    peer->control = greeting->control;
-    peer->zone = greeting->zone;
-    peer->seat = greeting->seat;
-    peer->empty = greeting->empty;
-    peer->leader = greeting->leader;
-    peer->lag_us = (uint64_t)greeting->lag_ms * 1000;
-    peer->revision = greeting->revision;
-    peer->rank = greeting->rank;
-    for (size_t i = 0; i < greeting->n_controls; i++) {
-        fleet_peer_learn(fleet, greeting->controls[i]);
+    peer->control = heartbeat->control;
+    peer->zone = heartbeat->zone;
+    peer->voter = heartbeat->voter;
+    peer->empty = heartbeat->empty;
+    peer->leader = heartbeat->leader;
+    peer->lag_us = (uint64_t)heartbeat->lag_ms * 1000;
+    peer->revision = heartbeat->revision;
+    peer->rank = heartbeat->rank;
+    for (size_t i = 0; i < heartbeat->n_controls; i++) {
+        fleet_peer_learn(fleet, heartbeat->controls[i]);
     }
-    for (size_t i = 0; i < greeting->n_seats; i++) {
-        fleet_peer_learn(fleet, greeting->seats[i]->address);
+    for (size_t i = 0; i < heartbeat->n_voters; i++) {
+        fleet_peer_learn(fleet, heartbeat->voters[i]->address);
     }
 }
 
--- a/src/fleet/fleet_presence.c
+++ b/src/fleet/fleet_presence.c
@@ -74,13 +74,13 @@
     Parsleyspur__FleetMessage message = PARSLEYSPUR__FLEET_MESSAGE__INIT;
     Parsleyspur__FleetHeard heard = PARSLEYSPUR__FLEET_HEARD__INIT;
 
-    if (control->unsent->len == 0 || fleet_greet_leader(fleet) == 0) {
+    if (control->unsent->len == 0 || fleet_heartbeat_leader(fleet) == 0) {
         return;
     }
     heard.hosts = (uint64_t *)(void *)control->unsent->data;
     heard.n_hosts = control->unsent->len;
     message.heard = &heard;
-    fleet_send(fleet, fleet_greet_leader(fleet), &message);
+    fleet_send(fleet, fleet_heartbeat_leader(fleet), &message);
     g_array_set_size(control->unsent, 0);
 }
 
@@ -95,7 +95,7 @@
         log_json_text(catalog_pool_name(fleet->catalog, target->pool));
 
     command.u.target.host = target->host;
-    command.u.target.born = target->born;
+    command.u.target.incarnation = target->incarnation;
     command.u.target.missing = true;
     fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
                    "target-missing",
--- a/src/fleet/fleet_private.h
+++ b/src/fleet/fleet_private.h
@@ -11,23 +11,24 @@
 #include "peer/fleet.pb-c.h"
 #include "peer/mesh.h"
 
-#define FLEET_GREET_US      500000U  /* between greetings of control daemons */
-#define FLEET_GREET_FAST_US 200000U  /* while something is being looked for */
-#define FLEET_FRESH_US      2000000U /* a peer heard within it is reachable */
-#define FLEET_FEEDS_MAX     3U       /* control daemons that feed an entry */
+#define FLEET_HEARTBEAT_US 500000U /* between heartbeats of control daemons */
+#define FLEET_HEARTBEAT_FAST_US                                               \
+    200000U                      /* while something is being looked for */
+#define FLEET_FRESH_US  2000000U /* a peer heard within it is reachable */
+#define FLEET_FEEDS_MAX 3U       /* control daemons that feed an entry */
 
 struct fleet_control;
 struct fleet_entry;
 
-/* Another daemon, as its last greeting described it. */
+/* Another daemon, as its last heartbeat described it. */
 struct fleet_peer {
     uint32_t address;
     struct daemon_id id;
     bool control;
     uint64_t heard_us; /* 0 if never */
     uint32_t zone;
-    uint32_t seat; /* from 1; 0 for none */
-    bool empty;    /* could take a seat */
+    uint32_t voter; /* which one it is, from 1; 0 for none */
+    bool empty;     /* could become a voter */
     uint32_t leader;
     uint64_t lag_us;
     uint64_t revision; /* of its catalog */
@@ -55,7 +56,7 @@
     struct fleet_seeds seeds;
     GHashTable *peers; /* address -> struct fleet_peer */
     struct catalog *catalog;
-    uint64_t greet_us;
+    uint64_t heartbeat_us;
     uint64_t seeds_us; /* when to look at the seeds next */
     bool stopping;
     uint64_t stop_us;              /* when a planned stop ends */
@@ -73,7 +74,7 @@
 void fleet_peer_learn(struct fleet *, uint32_t address);
 bool fleet_peer_is_fresh(const struct fleet_peer *, uint64_t now_us);
 void fleet_peer_heard(struct fleet *, struct fleet_peer *,
-                      const Parsleyspur__FleetGreeting *);
+                      const Parsleyspur__FleetHeartbeat *);
 void fleet_peer_forget(struct fleet *, uint64_t now_us);
 void fleet_send(struct fleet *, uint32_t address,
                 const Parsleyspur__FleetMessage *);
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -1,6 +1,6 @@
 /*
  * A voter of the replicated log whose state machine is the catalog.  Voters
- * are named by their seats; which daemon holds a seat changes while they run.
+ * have numbers; which daemon is the voter of a number changes while they run.
  */
 #include "base/hash.h"
 #include "base/log.h"
@@ -22,11 +22,11 @@
 static void on_role(struct fleet *, const struct quorum_action *);
 static void on_stored(void *, uint64_t token, bool ok);
 static void on_space(void *, bool low);
-static bool speaks_for(struct fleet *, const struct fleet_peer *,
-                       uint64_t seat, uint64_t revision);
+static bool is_that_voter(struct fleet *, const struct fleet_peer *,
+                          uint64_t voter, uint64_t revision);
 static void look_after(struct fleet *, uint64_t now_us);
 static void recover(struct fleet *);
-static void note_seats(struct fleet *);
+static void note_voters(struct fleet *);
 
 static void
 on_stored(void *user, uint64_t token, bool ok)
@@ -60,7 +60,7 @@
 }
 
 /*
- * Open the log of the seat held and make a voter of it.  MAY_FOUND: an empty
+ * Open the log of the voter that this daemon is, and start it.  MAY_FOUND: an empty
  * one may form a new cluster with the other founders.
  */
 bool
@@ -68,24 +68,24 @@
 {
     struct fleet_control *control = fleet->control;
     struct quorum_options options = {
-        .self = {control->seat},
-        .voter_count = control->seat_count,
+        .self = {control->voter},
+        .voter_count = control->voter_count,
         .may_not_found = !may_found,
         .seed = hash_pair(fleet->options->address, fleet_now_us()),
         .election_timeout_us = ELECTION_US,
-        .heartbeat_us = FLEET_HEARTBEAT_US,
+        .heartbeat_us = FLEET_LOG_HEARTBEAT_US,
         .snapshot_entries = SNAPSHOT_ENTRIES,
         .trailing_entries = TRAILING_ENTRIES,
     };
     struct store_handler handler = {on_stored, on_space, fleet};
     struct storage_report report;
     struct quorum_stored stored;
-    char *folder = fleet_seat_log_folder(fleet);
+    char *folder = fleet_voter_log_folder(fleet);
     uint64_t begun_us = fleet_now_us();
 
-    for (size_t i = 0; i < control->seat_count; i++) {
+    for (size_t i = 0; i < control->voter_count; i++) {
         options.voters[i].value = i + 1;
-        options.founder_count += control->seats[i].address != 0 ? 1 : 0;
+        options.founder_count += control->voters[i].address != 0 ? 1 : 0;
     }
     control->store =
         store_new(&fleet->loop, folder, handler, &stored, &report, error);
@@ -98,11 +98,11 @@
     control->packed_revision = UINT64_MAX;
     control->quorum = quorum_core_new(&options, &stored, fleet_now_us());
     fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "log-open",
-                   "\"seat\":%zu,\"empty\":%s,\"records\":%" G_GUINT64_FORMAT
+                   "\"voter\":%zu,\"empty\":%s,\"records\":%" G_GUINT64_FORMAT
                    ",\"torn_bytes\":%" G_GUINT64_FORMAT
                    ",\"votes\":%s,\"term\":%" G_GUINT64_FORMAT
                    ",\"took_ms\":%" G_GUINT64_FORMAT,
-                   control->seat, report.was_empty ? "true" : "false",
+                   control->voter, report.was_empty ? "true" : "false",
                    report.records, report.torn_bytes,
                    quorum_core_votes(control->quorum) ? "true" : "false",
                    quorum_core_term(control->quorum),
@@ -175,7 +175,7 @@
 {
     struct quorum_event event = {.kind = QUORUM_EV_TICK};
 
-    if (fleet->control->seat == 0) {
+    if (fleet->control->voter == 0) {
         return;
     }
     look_after(fleet, now_us);
@@ -199,26 +199,26 @@
 }
 
 /*
- * True if the daemon PEER holds SEAT, as far as is known: what it says of its
+ * True if the daemon PEER holds VOTER, as far as is known: what it says of its
  * own tenure is taken if it is newer.
  */
 static bool
-speaks_for(struct fleet *fleet, const struct fleet_peer *peer, uint64_t seat,
-           uint64_t revision)
+is_that_voter(struct fleet *fleet, const struct fleet_peer *peer,
+              uint64_t voter, uint64_t revision)
 {
     struct fleet_control *control = fleet->control;
 
-    if (seat < 1 || seat > control->seat_count || seat == control->seat) {
+    if (voter < 1 || voter > control->voter_count || voter == control->voter) {
         return false;
     }
-    fleet_seat_adopt(fleet, seat - 1, peer->address, revision);
-    return control->seats[seat - 1].address == peer->address &&
-           control->seats[seat - 1].revision == revision;
+    fleet_voter_adopt(fleet, voter - 1, peer->address, revision);
+    return control->voters[voter - 1].address == peer->address &&
+           control->voters[voter - 1].revision == revision;
 }
 
 /*
- * A message of another voter.  One in the name of a seat that has passed to
- * another daemon is left out.
+ * A message of another voter.  One of a daemon that is not that voter any
+ * more is left out.
  */
 void
 fleet_quorum_message(struct fleet *fleet, struct fleet_peer *peer,
@@ -233,7 +233,8 @@
         return;
     }
     if (fleet->control->quorum != NULL &&
-        speaks_for(fleet, peer, message.from.value, wrapped->seat_revision)) {
+        is_that_voter(fleet, peer, message.from.value,
+                      wrapped->voter_revision)) {
         event.u.message = &message;
         step(fleet, &event);
     }
@@ -323,23 +324,23 @@
         catalog_apply(fleet->catalog, entry->index, &command, &change);
         catalog_command_clear(&command);
     }
-    if (change.seats) {
-        note_seats(fleet);
+    if (change.voters) {
+        note_voters(fleet);
     }
     if (entry->request != 0) {
         fleet_request_done(fleet, entry->request, true);
     }
 }
 
-/* The log has given seats to other daemons. */
+/* The log has made other daemons voters. */
 static void
-note_seats(struct fleet *fleet)
+note_voters(struct fleet *fleet)
 {
-    const struct catalog_seat *seats = catalog_seats(fleet->catalog);
+    const struct catalog_voter *voters = catalog_voters(fleet->catalog);
 
-    for (size_t i = 0; i < fleet->control->seat_count; i++) {
-        if (seats[i].revision > 0) {
-            fleet_seat_adopt(fleet, i, seats[i].address, seats[i].revision);
+    for (size_t i = 0; i < fleet->control->voter_count; i++) {
+        if (voters[i].revision > 0) {
+            fleet_voter_adopt(fleet, i, voters[i].address, voters[i].revision);
         }
     }
 }
@@ -353,17 +354,17 @@
     uint64_t to = action->u.send.to.value;
     GByteArray *bytes;
 
-    if (to < 1 || to > control->seat_count ||
-        control->seats[to - 1].address == 0) {
-        return; /* a vacant seat */
+    if (to < 1 || to > control->voter_count ||
+        control->voters[to - 1].address == 0) {
+        return; /* no daemon is that voter yet */
     }
     bytes = g_byte_array_new();
     quorum_wire_pack(&action->u.send.message, bytes);
-    wrapped.seat_revision = control->seats[control->seat - 1].revision;
+    wrapped.voter_revision = control->voters[control->voter - 1].revision;
     wrapped.message.data = bytes->data;
     wrapped.message.len = bytes->len;
     message.quorum = &wrapped;
-    fleet_send(fleet, control->seats[to - 1].address, &message);
+    fleet_send(fleet, control->voters[to - 1].address, &message);
     g_byte_array_unref(bytes);
 }
 
@@ -387,7 +388,7 @@
     catalog_free(fleet->catalog);
     fleet->catalog = fresh;
     fleet->control->packed_revision = UINT64_MAX;
-    note_seats(fleet);
+    note_voters(fleet);
 }
 
 static void
@@ -408,17 +409,18 @@
 {
     struct fleet_control *control = fleet->control;
 
-    fleet_log_line(
-        fleet->log, FLEET_LOG_STATE, fleet_now_us(), "quorum-role",
-        "\"role\":\"%s\",\"term\":%" G_GUINT64_FORMAT
-        ",\"leader_seat\":%" G_GUINT64_FORMAT ",\"commit\":%" G_GUINT64_FORMAT,
-        quorum_role_name(action->u.role.role), action->u.role.term,
-        action->u.role.leader.value, quorum_core_commit(control->quorum));
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "quorum-role",
+                   "\"role\":\"%s\",\"term\":%" G_GUINT64_FORMAT
+                   ",\"leader_voter\":%" G_GUINT64_FORMAT
+                   ",\"commit\":%" G_GUINT64_FORMAT,
+                   quorum_role_name(action->u.role.role), action->u.role.term,
+                   action->u.role.leader.value,
+                   quorum_core_commit(control->quorum));
     if (action->u.role.role != QUORUM_LEADER) {
         control->leading = false;
     }
     if (action->u.role.leader.value != 0 && !control->formed) {
         control->formed = true;
-        fleet_seat_file_write(fleet);
+        fleet_voter_file_write(fleet);
     }
 }
--- a/src/fleet/fleet_request.c
+++ b/src/fleet/fleet_request.c
@@ -104,7 +104,7 @@
 static void
 ask_leader(struct fleet *fleet, Parsleyspur__FleetMessage *message)
 {
-    fleet_send(fleet, fleet_greet_leader(fleet), message);
+    fleet_send(fleet, fleet_heartbeat_leader(fleet), message);
 }
 
 /* Have the packed command committed and tell WAITER. */
@@ -123,7 +123,8 @@
         fleet_quorum_propose(fleet, request->id, data, len);
         return;
     }
-    if (fleet_greet_leader(fleet) == 0 || waiter->kind == FLEET_WAITER_PEER) {
+    if (fleet_heartbeat_leader(fleet) == 0 ||
+        waiter->kind == FLEET_WAITER_PEER) {
         fleet_request_done(fleet, request->id, false);
         return;
     }
@@ -165,7 +166,7 @@
             quorum_core_read_ok(control->quorum, fleet_now_us()));
         return;
     }
-    if (fleet_greet_leader(fleet) == 0) {
+    if (fleet_heartbeat_leader(fleet) == 0) {
         fleet_request_done(fleet, request->id, false);
         return;
     }
--- a/src/fleet/fleet_seat_file.c
+++ b/src/fleet/fleet_voter_file.c
@@ -1,6 +1,7 @@
 /*
- * The seats as last known, kept beside the log: after a restart a voter must
- * know its own seat, and where the others are, before it says anything.
+ * Which daemons are the voters, as last known, kept beside the log: after a
+ * restart a voter must know its number, and where the others are, before it
+ * says anything.
  */
 #include <errno.h>
 #include <fcntl.h>
@@ -12,8 +13,8 @@
 
 #include "fleet/fleet_control_private.h"
 
-#define FILE_NAME  "seats"
-#define FILE_NEW   "seats.new"
+#define FILE_NAME  "voters"
+#define FILE_NEW   "voters.new"
 #define LOG_PREFIX "log-"
 
 static char *path_of(const struct fleet *, const char *name);
@@ -33,21 +34,21 @@
 pack(const struct fleet *fleet)
 {
     const struct fleet_control *control = fleet->control;
-    Parsleyspur__FleetGreeting *file = g_malloc0(sizeof(*file));
+    Parsleyspur__FleetHeartbeat *file = g_malloc0(sizeof(*file));
     GByteArray *bytes = g_byte_array_new();
 
-    parsleyspur__fleet_greeting__init(file);
-    file->seat = (uint32_t)control->seat;
-    file->seat_count = (uint32_t)control->seat_count;
+    parsleyspur__fleet_heartbeat__init(file);
+    file->voter = (uint32_t)control->voter;
+    file->voter_count = (uint32_t)control->voter_count;
     file->members_known = control->formed;
     file->revision = control->log_number;
-    file->seats = g_new0(Parsleyspur__CatalogSeat *, CATALOG_SEATS_MAX);
-    file->n_seats = control->seat_count;
-    for (size_t i = 0; i < control->seat_count; i++) {
-        file->seats[i] = catalog_wire_seat(i, &control->seats[i]);
+    file->voters = g_new0(Parsleyspur__CatalogVoter *, CATALOG_VOTERS_MAX);
+    file->n_voters = control->voter_count;
+    for (size_t i = 0; i < control->voter_count; i++) {
+        file->voters[i] = catalog_wire_voter(i, &control->voters[i]);
     }
     catalog_wire_append(&file->base, bytes);
-    parsleyspur__fleet_greeting__free_unpacked(file, NULL);
+    parsleyspur__fleet_heartbeat__free_unpacked(file, NULL);
     return bytes;
 }
 
@@ -79,12 +80,12 @@
 }
 
 /*
- * Store the seats.  A failure is told and not waited for: the file before it
- * still names seats that others correct, and the log's own files refuse the
+ * Store the voters.  A failure is told and not waited for: the file before it
+ * still names voters that others correct, and the log's own files refuse the
  * daemon a vote if they are lost.
  */
 void
-fleet_seat_file_write(struct fleet *fleet)
+fleet_voter_file_write(struct fleet *fleet)
 {
     GByteArray *bytes = pack(fleet);
     char *new_path = path_of(fleet, FILE_NEW);
@@ -93,7 +94,7 @@
     if (!write_file(new_path, bytes) || rename(new_path, path) != 0 ||
         !sync_folder(fleet->options->data_dir)) {
         fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
-                       "seats-not-stored",
+                       "voters-not-stored",
                        "\"error\":\"%s\",\"remedy\":\"see to the data "
                        "folder's disk\"",
                        g_strerror(errno));
@@ -103,36 +104,37 @@
     g_free(path);
 }
 
-/* Take the seats from the file; false if there is none, or a damaged one. */
+/* Take the voters from the file; false if there is none, or a damaged one. */
 bool
-fleet_seat_file_read(struct fleet *fleet)
+fleet_voter_file_read(struct fleet *fleet)
 {
     struct fleet_control *control = fleet->control;
     char *path = path_of(fleet, FILE_NAME);
-    Parsleyspur__FleetGreeting *file = NULL;
+    Parsleyspur__FleetHeartbeat *file = NULL;
     gchar *data = NULL;
     gsize len = 0;
     bool ok;
 
     if (g_file_get_contents(path, &data, &len, NULL)) {
-        file = parsleyspur__fleet_greeting__unpack(NULL, len,
-                                                   (const uint8_t *)data);
+        file = parsleyspur__fleet_heartbeat__unpack(NULL, len,
+                                                    (const uint8_t *)data);
     }
-    ok = file != NULL && file->seat_count > 0 &&
-         file->seat_count <= CATALOG_SEATS_MAX &&
-         file->seat <= file->seat_count && file->n_seats == file->seat_count;
+    ok = file != NULL && file->voter_count > 0 &&
+         file->voter_count <= CATALOG_VOTERS_MAX &&
+         file->voter <= file->voter_count &&
+         file->n_voters == file->voter_count;
     if (ok) {
-        control->seat = file->seat;
-        control->seat_count = file->seat_count;
+        control->voter = file->voter;
+        control->voter_count = file->voter_count;
         control->formed = file->members_known;
         control->log_number = (uint32_t)file->revision;
-        for (size_t i = 0; i < file->n_seats; i++) {
-            control->seats[i].address = file->seats[i]->address;
-            control->seats[i].revision = file->seats[i]->revision;
+        for (size_t i = 0; i < file->n_voters; i++) {
+            control->voters[i].address = file->voters[i]->address;
+            control->voters[i].revision = file->voters[i]->revision;
         }
     }
     if (file != NULL) {
-        parsleyspur__fleet_greeting__free_unpacked(file, NULL);
+        parsleyspur__fleet_heartbeat__free_unpacked(file, NULL);
     }
     g_free(data);
     g_free(path);
@@ -140,12 +142,12 @@
 }
 
 /*
- * The folder of the log for the present tenure of a seat; the caller frees
- * it.  Each tenure has its own, so that what a lost seat's log holds is never
+ * The folder of the log for the time that this daemon is a voter; the caller
+ * frees it.  Each time has its own, so that what an earlier log holds is never
  * taken for the next one's.
  */
 char *
-fleet_seat_log_folder(const struct fleet *fleet)
+fleet_voter_log_folder(const struct fleet *fleet)
 {
     char *name = g_strdup_printf(LOG_PREFIX "%u", fleet->control->log_number);
     char *path = path_of(fleet, name);
@@ -172,19 +174,19 @@
     g_rmdir(path);
 }
 
-/* Remove the logs of earlier tenures. */
+/* Remove the logs of earlier times as a voter. */
 void
-fleet_seat_remove_logs(struct fleet *fleet)
+fleet_voter_remove_logs(struct fleet *fleet)
 {
     GDir *folder = g_dir_open(fleet->options->data_dir, 0, NULL);
-    char *own = fleet_seat_log_folder(fleet);
+    char *own = fleet_voter_log_folder(fleet);
     const char *name;
 
     while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
         char *path = path_of(fleet, name);
 
         if (g_str_has_prefix(name, LOG_PREFIX) &&
-            (fleet->control->seat == 0 || strcmp(path, own) != 0)) {
+            (fleet->control->voter == 0 || strcmp(path, own) != 0)) {
             remove_folder(path);
         }
         g_free(path);
--- a/src/peer/catalog.pb-c.c
+++ b/src/peer/catalog.pb-c.c
@@ -187,49 +187,49 @@
   assert(message->base.descriptor == &parsleyspur__catalog_target__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   parsleyspur__catalog_seat__init
-                     (Parsleyspur__CatalogSeat         *message)
+void   parsleyspur__catalog_voter__init
+                     (Parsleyspur__CatalogVoter         *message)
 {
-  static const Parsleyspur__CatalogSeat init_value = PARSLEYSPUR__CATALOG_SEAT__INIT;
+  static const Parsleyspur__CatalogVoter init_value = PARSLEYSPUR__CATALOG_VOTER__INIT;
   *message = init_value;
 }
-size_t parsleyspur__catalog_seat__get_packed_size
-                     (const Parsleyspur__CatalogSeat *message)
+size_t parsleyspur__catalog_voter__get_packed_size
+                     (const Parsleyspur__CatalogVoter *message)
 {
-  assert(message->base.descriptor == &parsleyspur__catalog_seat__descriptor);
+  assert(message->base.descriptor == &parsleyspur__catalog_voter__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t parsleyspur__catalog_seat__pack
-                     (const Parsleyspur__CatalogSeat *message,
+size_t parsleyspur__catalog_voter__pack
+                     (const Parsleyspur__CatalogVoter *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &parsleyspur__catalog_seat__descriptor);
+  assert(message->base.descriptor == &parsleyspur__catalog_voter__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t parsleyspur__catalog_seat__pack_to_buffer
-                     (const Parsleyspur__CatalogSeat *message,
+size_t parsleyspur__catalog_voter__pack_to_buffer
+                     (const Parsleyspur__CatalogVoter *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &parsleyspur__catalog_seat__descriptor);
+  assert(message->base.descriptor == &parsleyspur__catalog_voter__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Parsleyspur__CatalogSeat *
-       parsleyspur__catalog_seat__unpack
+Parsleyspur__CatalogVoter *
+       parsleyspur__catalog_voter__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Parsleyspur__CatalogSeat *)
-     protobuf_c_message_unpack (&parsleyspur__catalog_seat__descriptor,
+  return (Parsleyspur__CatalogVoter *)
+     protobuf_c_message_unpack (&parsleyspur__catalog_voter__descriptor,
                                 allocator, len, data);
 }
-void   parsleyspur__catalog_seat__free_unpacked
-                     (Parsleyspur__CatalogSeat *message,
+void   parsleyspur__catalog_voter__free_unpacked
+                     (Parsleyspur__CatalogVoter *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &parsleyspur__catalog_seat__descriptor);
+  assert(message->base.descriptor == &parsleyspur__catalog_voter__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   parsleyspur__catalog_update__init
@@ -581,12 +581,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "born",
+    "incarnation",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__CatalogTarget, born),
+    offsetof(Parsleyspur__CatalogTarget, incarnation),
     NULL,
     NULL,
     0,             /* flags */
@@ -715,9 +715,9 @@
 };
 static const unsigned parsleyspur__catalog_target__field_indices_by_name[] = {
   3,   /* field[3] = address */
-  1,   /* field[1] = born */
   9,   /* field[9] = cold_ms */
   0,   /* field[0] = host */
+  1,   /* field[1] = incarnation */
   10,   /* field[10] = missing */
   5,   /* field[5] = pool */
   4,   /* field[4] = port */
@@ -747,15 +747,15 @@
   (ProtobufCMessageInit) parsleyspur__catalog_target__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__catalog_seat__field_descriptors[3] =
+static const ProtobufCFieldDescriptor parsleyspur__catalog_voter__field_descriptors[3] =
 {
   {
-    "seat",
+    "voter",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__CatalogSeat, seat),
+    offsetof(Parsleyspur__CatalogVoter, voter),
     NULL,
     NULL,
     0,             /* flags */
@@ -767,7 +767,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__CatalogSeat, address),
+    offsetof(Parsleyspur__CatalogVoter, address),
     NULL,
     NULL,
     0,             /* flags */
@@ -779,36 +779,36 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__CatalogSeat, revision),
+    offsetof(Parsleyspur__CatalogVoter, revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned parsleyspur__catalog_seat__field_indices_by_name[] = {
+static const unsigned parsleyspur__catalog_voter__field_indices_by_name[] = {
   1,   /* field[1] = address */
   2,   /* field[2] = revision */
-  0,   /* field[0] = seat */
+  0,   /* field[0] = voter */
 };
-static const ProtobufCIntRange parsleyspur__catalog_seat__number_ranges[1 + 1] =
+static const ProtobufCIntRange parsleyspur__catalog_voter__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor parsleyspur__catalog_seat__descriptor =
+const ProtobufCMessageDescriptor parsleyspur__catalog_voter__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "parsleyspur.CatalogSeat",
-  "CatalogSeat",
-  "Parsleyspur__CatalogSeat",
+  "parsleyspur.CatalogVoter",
+  "CatalogVoter",
+  "Parsleyspur__CatalogVoter",
   "parsleyspur",
-  sizeof(Parsleyspur__CatalogSeat),
+  sizeof(Parsleyspur__CatalogVoter),
   3,
-  parsleyspur__catalog_seat__field_descriptors,
-  parsleyspur__catalog_seat__field_indices_by_name,
-  1,  parsleyspur__catalog_seat__number_ranges,
-  (ProtobufCMessageInit) parsleyspur__catalog_seat__init,
+  parsleyspur__catalog_voter__field_descriptors,
+  parsleyspur__catalog_voter__field_indices_by_name,
+  1,  parsleyspur__catalog_voter__number_ranges,
+  (ProtobufCMessageInit) parsleyspur__catalog_voter__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor parsleyspur__catalog_update__field_descriptors[13] =
@@ -910,13 +910,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seats",
+    "voters",
     9,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Parsleyspur__CatalogUpdate, n_seats),
-    offsetof(Parsleyspur__CatalogUpdate, seats),
-    &parsleyspur__catalog_seat__descriptor,
+    offsetof(Parsleyspur__CatalogUpdate, n_voters),
+    offsetof(Parsleyspur__CatalogUpdate, voters),
+    &parsleyspur__catalog_voter__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -978,11 +978,11 @@
   4,   /* field[4] = idle_ms */
   5,   /* field[5] = pools */
   6,   /* field[6] = routes */
-  8,   /* field[8] = seats */
   10,   /* field[10] = tables_revision */
   7,   /* field[7] = targets */
   1,   /* field[1] = to */
   3,   /* field[3] = version */
+  8,   /* field[8] = voters */
   2,   /* field[2] = whole */
 };
 static const ProtobufCIntRange parsleyspur__catalog_update__number_ranges[1 + 1] =
@@ -1056,13 +1056,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seat",
+    "voter",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__CatalogCommand, seat),
-    &parsleyspur__catalog_seat__descriptor,
+    offsetof(Parsleyspur__CatalogCommand, voter),
+    &parsleyspur__catalog_voter__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1073,7 +1073,7 @@
   2,   /* field[2] = leave */
   3,   /* field[3] = presence */
   0,   /* field[0] = replace */
-  4,   /* field[4] = seat */
+  4,   /* field[4] = voter */
 };
 static const ProtobufCIntRange parsleyspur__catalog_command__number_ranges[1 + 1] =
 {
--- a/src/peer/catalog.pb-c.h
+++ b/src/peer/catalog.pb-c.h
@@ -19,7 +19,7 @@
 typedef struct Parsleyspur__CatalogPool Parsleyspur__CatalogPool;
 typedef struct Parsleyspur__CatalogRoute Parsleyspur__CatalogRoute;
 typedef struct Parsleyspur__CatalogTarget Parsleyspur__CatalogTarget;
-typedef struct Parsleyspur__CatalogSeat Parsleyspur__CatalogSeat;
+typedef struct Parsleyspur__CatalogVoter Parsleyspur__CatalogVoter;
 typedef struct Parsleyspur__CatalogUpdate Parsleyspur__CatalogUpdate;
 typedef struct Parsleyspur__CatalogCommand Parsleyspur__CatalogCommand;
 
@@ -77,7 +77,7 @@
 {
   ProtobufCMessage base;
   uint64_t host;
-  uint64_t born;
+  uint64_t incarnation;
   uint64_t sequence;
   uint32_t address;
   uint32_t port;
@@ -97,15 +97,15 @@
     , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
-struct  Parsleyspur__CatalogSeat
+struct  Parsleyspur__CatalogVoter
 {
   ProtobufCMessage base;
-  uint32_t seat;
+  uint32_t voter;
   uint32_t address;
   uint64_t revision;
 };
-#define PARSLEYSPUR__CATALOG_SEAT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__catalog_seat__descriptor) \
+#define PARSLEYSPUR__CATALOG_VOTER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__catalog_voter__descriptor) \
     , 0, 0, 0 }
 
 
@@ -126,8 +126,8 @@
   Parsleyspur__CatalogRoute **routes;
   size_t n_targets;
   Parsleyspur__CatalogTarget **targets;
-  size_t n_seats;
-  Parsleyspur__CatalogSeat **seats;
+  size_t n_voters;
+  Parsleyspur__CatalogVoter **voters;
   ProtobufCBinaryData document;
   uint64_t tables_revision;
   uint64_t changed;
@@ -151,7 +151,7 @@
   Parsleyspur__CatalogTarget *announce;
   Parsleyspur__CatalogTarget *leave;
   Parsleyspur__CatalogTarget *presence;
-  Parsleyspur__CatalogSeat *seat;
+  Parsleyspur__CatalogVoter *voter;
 };
 #define PARSLEYSPUR__CATALOG_COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__catalog_command__descriptor) \
@@ -234,24 +234,24 @@
 void   parsleyspur__catalog_target__free_unpacked
                      (Parsleyspur__CatalogTarget *message,
                       ProtobufCAllocator *allocator);
-/* Parsleyspur__CatalogSeat methods */
-void   parsleyspur__catalog_seat__init
-                     (Parsleyspur__CatalogSeat         *message);
-size_t parsleyspur__catalog_seat__get_packed_size
-                     (const Parsleyspur__CatalogSeat   *message);
-size_t parsleyspur__catalog_seat__pack
-                     (const Parsleyspur__CatalogSeat   *message,
+/* Parsleyspur__CatalogVoter methods */
+void   parsleyspur__catalog_voter__init
+                     (Parsleyspur__CatalogVoter         *message);
+size_t parsleyspur__catalog_voter__get_packed_size
+                     (const Parsleyspur__CatalogVoter   *message);
+size_t parsleyspur__catalog_voter__pack
+                     (const Parsleyspur__CatalogVoter   *message,
                       uint8_t             *out);
-size_t parsleyspur__catalog_seat__pack_to_buffer
-                     (const Parsleyspur__CatalogSeat   *message,
+size_t parsleyspur__catalog_voter__pack_to_buffer
+                     (const Parsleyspur__CatalogVoter   *message,
                       ProtobufCBuffer     *buffer);
-Parsleyspur__CatalogSeat *
-       parsleyspur__catalog_seat__unpack
+Parsleyspur__CatalogVoter *
+       parsleyspur__catalog_voter__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   parsleyspur__catalog_seat__free_unpacked
-                     (Parsleyspur__CatalogSeat *message,
+void   parsleyspur__catalog_voter__free_unpacked
+                     (Parsleyspur__CatalogVoter *message,
                       ProtobufCAllocator *allocator);
 /* Parsleyspur__CatalogUpdate methods */
 void   parsleyspur__catalog_update__init
@@ -305,8 +305,8 @@
 typedef void (*Parsleyspur__CatalogTarget_Closure)
                  (const Parsleyspur__CatalogTarget *message,
                   void *closure_data);
-typedef void (*Parsleyspur__CatalogSeat_Closure)
-                 (const Parsleyspur__CatalogSeat *message,
+typedef void (*Parsleyspur__CatalogVoter_Closure)
+                 (const Parsleyspur__CatalogVoter *message,
                   void *closure_data);
 typedef void (*Parsleyspur__CatalogUpdate_Closure)
                  (const Parsleyspur__CatalogUpdate *message,
@@ -324,7 +324,7 @@
 extern const ProtobufCMessageDescriptor parsleyspur__catalog_pool__descriptor;
 extern const ProtobufCMessageDescriptor parsleyspur__catalog_route__descriptor;
 extern const ProtobufCMessageDescriptor parsleyspur__catalog_target__descriptor;
-extern const ProtobufCMessageDescriptor parsleyspur__catalog_seat__descriptor;
+extern const ProtobufCMessageDescriptor parsleyspur__catalog_voter__descriptor;
 extern const ProtobufCMessageDescriptor parsleyspur__catalog_update__descriptor;
 extern const ProtobufCMessageDescriptor parsleyspur__catalog_command__descriptor;
 
--- a/src/peer/catalog_wire.c
+++ b/src/peer/catalog_wire.c
@@ -9,8 +9,8 @@
 static void *add_row(size_t *count, void ***rows, size_t size);
 static void fill_target(Parsleyspur__CatalogTarget *,
                         const struct catalog_target *);
-static void fill_seat(Parsleyspur__CatalogSeat *, size_t index,
-                      const struct catalog_seat *);
+static void fill_voter(Parsleyspur__CatalogVoter *, size_t index,
+                       const struct catalog_voter *);
 static Parsleyspur__CatalogTarget *target_row(const struct catalog_target *);
 static Parsleyspur__CatalogUpdate *
 tables_message(const struct catalog_tables *);
@@ -102,7 +102,7 @@
 {
     parsleyspur__catalog_target__init(row);
     row->host = target->host;
-    row->born = target->born;
+    row->incarnation = target->incarnation;
     row->sequence = target->sequence;
     row->address = target->address;
     row->port = target->port;
@@ -144,7 +144,7 @@
         return false;
     }
     target->host = row->host;
-    target->born = row->born;
+    target->incarnation = row->incarnation;
     target->sequence = row->sequence;
     target->address = row->address;
     target->port = (uint16_t)row->port;
@@ -171,33 +171,33 @@
 }
 
 static void
-fill_seat(Parsleyspur__CatalogSeat *row, size_t index,
-          const struct catalog_seat *seat)
+fill_voter(Parsleyspur__CatalogVoter *row, size_t index,
+           const struct catalog_voter *voter)
 {
-    parsleyspur__catalog_seat__init(row);
-    row->seat = (uint32_t)index;
-    row->address = seat->address;
-    row->revision = seat->revision;
+    parsleyspur__catalog_voter__init(row);
+    row->voter = (uint32_t)index;
+    row->address = voter->address;
+    row->revision = voter->revision;
 }
 
 /* A row that the caller adds to a message. */
-Parsleyspur__CatalogSeat *
-catalog_wire_seat(size_t index, const struct catalog_seat *seat)
+Parsleyspur__CatalogVoter *
+catalog_wire_voter(size_t index, const struct catalog_voter *voter)
 {
-    Parsleyspur__CatalogSeat *row = g_malloc0(sizeof(*row));
+    Parsleyspur__CatalogVoter *row = g_malloc0(sizeof(*row));
 
-    fill_seat(row, index, seat);
+    fill_voter(row, index, voter);
     return row;
 }
 
 void
-catalog_wire_add_seat(Parsleyspur__CatalogUpdate *update, size_t index,
-                      const struct catalog_seat *seat)
+catalog_wire_add_voter(Parsleyspur__CatalogUpdate *update, size_t index,
+                       const struct catalog_voter *voter)
 {
-    Parsleyspur__CatalogSeat *row =
-        add_row(&update->n_seats, (void ***)&update->seats, sizeof(*row));
+    Parsleyspur__CatalogVoter *row =
+        add_row(&update->n_voters, (void ***)&update->voters, sizeof(*row));
 
-    fill_seat(row, index, seat);
+    fill_voter(row, index, voter);
 }
 
 static Parsleyspur__CatalogUpdate *
@@ -230,7 +230,7 @@
 catalog_wire_pack(const struct catalog_command *command, GByteArray *bytes)
 {
     Parsleyspur__CatalogCommand *message = g_malloc0(sizeof(*message));
-    struct catalog_seat seat = {0};
+    struct catalog_voter voter = {0};
 
     parsleyspur__catalog_command__init(message);
     switch (command->kind) {
@@ -246,9 +246,9 @@
     case CATALOG_PRESENCE:
         message->presence = target_row(&command->u.target);
         break;
-    case CATALOG_SEAT:
-        seat.address = command->u.seat.address;
-        message->seat = catalog_wire_seat(command->u.seat.index, &seat);
+    case CATALOG_VOTER:
+        voter.address = command->u.voter.address;
+        message->voter = catalog_wire_voter(command->u.voter.index, &voter);
         break;
     case CATALOG_COMMAND__MAX:
         break;
@@ -318,10 +318,10 @@
     else if (message->presence != NULL) {
         ok = take_target_command(message->presence, CATALOG_PRESENCE, command);
     }
-    else if (message->seat != NULL) {
-        command->kind = CATALOG_SEAT;
-        command->u.seat.index = message->seat->seat;
-        command->u.seat.address = message->seat->address;
+    else if (message->voter != NULL) {
+        command->kind = CATALOG_VOTER;
+        command->u.voter.index = message->voter->voter;
+        command->u.voter.address = message->voter->address;
         ok = true;
     }
     if (!ok) {
--- a/src/peer/catalog_wire.h
+++ b/src/peer/catalog_wire.h
@@ -21,10 +21,10 @@
                              const struct catalog_target *);
 void catalog_wire_add_pool(Parsleyspur__CatalogUpdate *, uint64_t id,
                            const char *name);
-Parsleyspur__CatalogSeat *catalog_wire_seat(size_t index,
-                                            const struct catalog_seat *);
-void catalog_wire_add_seat(Parsleyspur__CatalogUpdate *, size_t index,
-                           const struct catalog_seat *);
+Parsleyspur__CatalogVoter *catalog_wire_voter(size_t index,
+                                              const struct catalog_voter *);
+void catalog_wire_add_voter(Parsleyspur__CatalogUpdate *, size_t index,
+                            const struct catalog_voter *);
 
 bool catalog_wire_take_route(const Parsleyspur__CatalogRoute *,
                              struct catalog_route *);
--- a/src/peer/fleet.pb-c.c
+++ b/src/peer/fleet.pb-c.c
@@ -7,49 +7,49 @@
 #endif
 
 #include "fleet.pb-c.h"
-void   parsleyspur__fleet_greeting__init
-                     (Parsleyspur__FleetGreeting         *message)
+void   parsleyspur__fleet_heartbeat__init
+                     (Parsleyspur__FleetHeartbeat         *message)
 {
-  static const Parsleyspur__FleetGreeting init_value = PARSLEYSPUR__FLEET_GREETING__INIT;
+  static const Parsleyspur__FleetHeartbeat init_value = PARSLEYSPUR__FLEET_HEARTBEAT__INIT;
   *message = init_value;
 }
-size_t parsleyspur__fleet_greeting__get_packed_size
-                     (const Parsleyspur__FleetGreeting *message)
+size_t parsleyspur__fleet_heartbeat__get_packed_size
+                     (const Parsleyspur__FleetHeartbeat *message)
 {
-  assert(message->base.descriptor == &parsleyspur__fleet_greeting__descriptor);
+  assert(message->base.descriptor == &parsleyspur__fleet_heartbeat__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t parsleyspur__fleet_greeting__pack
-                     (const Parsleyspur__FleetGreeting *message,
+size_t parsleyspur__fleet_heartbeat__pack
+                     (const Parsleyspur__FleetHeartbeat *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &parsleyspur__fleet_greeting__descriptor);
+  assert(message->base.descriptor == &parsleyspur__fleet_heartbeat__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t parsleyspur__fleet_greeting__pack_to_buffer
-                     (const Parsleyspur__FleetGreeting *message,
+size_t parsleyspur__fleet_heartbeat__pack_to_buffer
+                     (const Parsleyspur__FleetHeartbeat *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &parsleyspur__fleet_greeting__descriptor);
+  assert(message->base.descriptor == &parsleyspur__fleet_heartbeat__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Parsleyspur__FleetGreeting *
-       parsleyspur__fleet_greeting__unpack
+Parsleyspur__FleetHeartbeat *
+       parsleyspur__fleet_heartbeat__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Parsleyspur__FleetGreeting *)
-     protobuf_c_message_unpack (&parsleyspur__fleet_greeting__descriptor,
+  return (Parsleyspur__FleetHeartbeat *)
+     protobuf_c_message_unpack (&parsleyspur__fleet_heartbeat__descriptor,
                                 allocator, len, data);
 }
-void   parsleyspur__fleet_greeting__free_unpacked
-                     (Parsleyspur__FleetGreeting *message,
+void   parsleyspur__fleet_heartbeat__free_unpacked
+                     (Parsleyspur__FleetHeartbeat *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &parsleyspur__fleet_greeting__descriptor);
+  assert(message->base.descriptor == &parsleyspur__fleet_heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   parsleyspur__fleet_submit__init
@@ -322,7 +322,7 @@
   assert(message->base.descriptor == &parsleyspur__fleet_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor parsleyspur__fleet_greeting__field_descriptors[13] =
+static const ProtobufCFieldDescriptor parsleyspur__fleet_heartbeat__field_descriptors[13] =
 {
   {
     "control",
@@ -330,7 +330,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, control),
+    offsetof(Parsleyspur__FleetHeartbeat, control),
     NULL,
     NULL,
     0,             /* flags */
@@ -342,7 +342,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, answer),
+    offsetof(Parsleyspur__FleetHeartbeat, answer),
     NULL,
     NULL,
     0,             /* flags */
@@ -354,7 +354,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, revision),
+    offsetof(Parsleyspur__FleetHeartbeat, revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -366,7 +366,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, rank),
+    offsetof(Parsleyspur__FleetHeartbeat, rank),
     NULL,
     NULL,
     0,             /* flags */
@@ -378,7 +378,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, leader),
+    offsetof(Parsleyspur__FleetHeartbeat, leader),
     NULL,
     NULL,
     0,             /* flags */
@@ -390,19 +390,19 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, lag_ms),
+    offsetof(Parsleyspur__FleetHeartbeat, lag_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seat",
+    "voter",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, seat),
+    offsetof(Parsleyspur__FleetHeartbeat, voter),
     NULL,
     NULL,
     0,             /* flags */
@@ -414,20 +414,20 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, empty),
+    offsetof(Parsleyspur__FleetHeartbeat, empty),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seats",
+    "voters",
     9,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Parsleyspur__FleetGreeting, n_seats),
-    offsetof(Parsleyspur__FleetGreeting, seats),
-    &parsleyspur__catalog_seat__descriptor,
+    offsetof(Parsleyspur__FleetHeartbeat, n_voters),
+    offsetof(Parsleyspur__FleetHeartbeat, voters),
+    &parsleyspur__catalog_voter__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -437,8 +437,8 @@
     10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Parsleyspur__FleetGreeting, n_controls),
-    offsetof(Parsleyspur__FleetGreeting, controls),
+    offsetof(Parsleyspur__FleetHeartbeat, n_controls),
+    offsetof(Parsleyspur__FleetHeartbeat, controls),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -450,7 +450,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, zone),
+    offsetof(Parsleyspur__FleetHeartbeat, zone),
     NULL,
     NULL,
     0,             /* flags */
@@ -462,26 +462,26 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, members_known),
+    offsetof(Parsleyspur__FleetHeartbeat, members_known),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "seat_count",
+    "voter_count",
     13,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetGreeting, seat_count),
+    offsetof(Parsleyspur__FleetHeartbeat, voter_count),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned parsleyspur__fleet_greeting__field_indices_by_name[] = {
+static const unsigned parsleyspur__fleet_heartbeat__field_indices_by_name[] = {
   1,   /* field[1] = answer */
   0,   /* field[0] = control */
   9,   /* field[9] = controls */
@@ -491,29 +491,29 @@
   11,   /* field[11] = members_known */
   3,   /* field[3] = rank */
   2,   /* field[2] = revision */
-  6,   /* field[6] = seat */
-  12,   /* field[12] = seat_count */
-  8,   /* field[8] = seats */
+  6,   /* field[6] = voter */
+  12,   /* field[12] = voter_count */
+  8,   /* field[8] = voters */
   10,   /* field[10] = zone */
 };
-static const ProtobufCIntRange parsleyspur__fleet_greeting__number_ranges[1 + 1] =
+static const ProtobufCIntRange parsleyspur__fleet_heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 13 }
 };
-const ProtobufCMessageDescriptor parsleyspur__fleet_greeting__descriptor =
+const ProtobufCMessageDescriptor parsleyspur__fleet_heartbeat__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "parsleyspur.FleetGreeting",
-  "FleetGreeting",
-  "Parsleyspur__FleetGreeting",
+  "parsleyspur.FleetHeartbeat",
+  "FleetHeartbeat",
+  "Parsleyspur__FleetHeartbeat",
   "parsleyspur",
-  sizeof(Parsleyspur__FleetGreeting),
+  sizeof(Parsleyspur__FleetHeartbeat),
   13,
-  parsleyspur__fleet_greeting__field_descriptors,
-  parsleyspur__fleet_greeting__field_indices_by_name,
-  1,  parsleyspur__fleet_greeting__number_ranges,
-  (ProtobufCMessageInit) parsleyspur__fleet_greeting__init,
+  parsleyspur__fleet_heartbeat__field_descriptors,
+  parsleyspur__fleet_heartbeat__field_indices_by_name,
+  1,  parsleyspur__fleet_heartbeat__number_ranges,
+  (ProtobufCMessageInit) parsleyspur__fleet_heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor parsleyspur__fleet_submit__field_descriptors[2] =
@@ -710,12 +710,12 @@
 static const ProtobufCFieldDescriptor parsleyspur__fleet_quorum__field_descriptors[2] =
 {
   {
-    "seat_revision",
+    "voter_revision",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetQuorum, seat_revision),
+    offsetof(Parsleyspur__FleetQuorum, voter_revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -736,7 +736,7 @@
 };
 static const unsigned parsleyspur__fleet_quorum__field_indices_by_name[] = {
   1,   /* field[1] = message */
-  0,   /* field[0] = seat_revision */
+  0,   /* field[0] = voter_revision */
 };
 static const ProtobufCIntRange parsleyspur__fleet_quorum__number_ranges[1 + 1] =
 {
@@ -761,13 +761,13 @@
 static const ProtobufCFieldDescriptor parsleyspur__fleet_message__field_descriptors[8] =
 {
   {
-    "greeting",
+    "heartbeat",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Parsleyspur__FleetMessage, greeting),
-    &parsleyspur__fleet_greeting__descriptor,
+    offsetof(Parsleyspur__FleetMessage, heartbeat),
+    &parsleyspur__fleet_heartbeat__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -860,8 +860,8 @@
 static const unsigned parsleyspur__fleet_message__field_indices_by_name[] = {
   3,   /* field[3] = confirm */
   4,   /* field[4] = confirm_answer */
-  0,   /* field[0] = greeting */
   5,   /* field[5] = heard */
+  0,   /* field[0] = heartbeat */
   6,   /* field[6] = quorum */
   1,   /* field[1] = submit */
   2,   /* field[2] = submit_answer */
--- a/src/peer/fleet.pb-c.h
+++ b/src/peer/fleet.pb-c.h
@@ -16,7 +16,7 @@
 
 #include "catalog.pb-c.h"
 
-typedef struct Parsleyspur__FleetGreeting Parsleyspur__FleetGreeting;
+typedef struct Parsleyspur__FleetHeartbeat Parsleyspur__FleetHeartbeat;
 typedef struct Parsleyspur__FleetSubmit Parsleyspur__FleetSubmit;
 typedef struct Parsleyspur__FleetSubmitAnswer Parsleyspur__FleetSubmitAnswer;
 typedef struct Parsleyspur__FleetConfirm Parsleyspur__FleetConfirm;
@@ -33,7 +33,7 @@
 /*
  * What a daemon says of itself, and what it knows of control daemons.
  */
-struct  Parsleyspur__FleetGreeting
+struct  Parsleyspur__FleetHeartbeat
 {
   ProtobufCMessage base;
   protobuf_c_boolean control;
@@ -57,24 +57,24 @@
   /*
    * control: 0 for none
    */
-  uint32_t seat;
+  uint32_t voter;
   /*
-   * control: without a seat and able to take one
+   * control: no voter, and able to become one
    */
   protobuf_c_boolean empty;
-  size_t n_seats;
-  Parsleyspur__CatalogSeat **seats;
+  size_t n_voters;
+  Parsleyspur__CatalogVoter **voters;
   size_t n_controls;
   uint32_t *controls;
   uint32_t zone;
   /*
-   * seats are those of a formed cluster
+   * voters are those of a formed cluster
    */
   protobuf_c_boolean members_known;
-  uint32_t seat_count;
+  uint32_t voter_count;
 };
-#define PARSLEYSPUR__FLEET_GREETING__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__fleet_greeting__descriptor) \
+#define PARSLEYSPUR__FLEET_HEARTBEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__fleet_heartbeat__descriptor) \
     , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
@@ -128,7 +128,7 @@
 struct  Parsleyspur__FleetQuorum
 {
   ProtobufCMessage base;
-  uint64_t seat_revision;
+  uint64_t voter_revision;
   ProtobufCBinaryData message;
 };
 #define PARSLEYSPUR__FLEET_QUORUM__INIT \
@@ -142,7 +142,7 @@
 struct  Parsleyspur__FleetMessage
 {
   ProtobufCMessage base;
-  Parsleyspur__FleetGreeting *greeting;
+  Parsleyspur__FleetHeartbeat *heartbeat;
   Parsleyspur__FleetSubmit *submit;
   Parsleyspur__FleetSubmitAnswer *submit_answer;
   Parsleyspur__FleetConfirm *confirm;
@@ -159,24 +159,24 @@
     , NULL, NULL, NULL, NULL, NULL, NULL, NULL, {0,NULL} }
 
 
-/* Parsleyspur__FleetGreeting methods */
-void   parsleyspur__fleet_greeting__init
-                     (Parsleyspur__FleetGreeting         *message);
-size_t parsleyspur__fleet_greeting__get_packed_size
-                     (const Parsleyspur__FleetGreeting   *message);
-size_t parsleyspur__fleet_greeting__pack
-                     (const Parsleyspur__FleetGreeting   *message,
+/* Parsleyspur__FleetHeartbeat methods */
+void   parsleyspur__fleet_heartbeat__init
+                     (Parsleyspur__FleetHeartbeat         *message);
+size_t parsleyspur__fleet_heartbeat__get_packed_size
+                     (const Parsleyspur__FleetHeartbeat   *message);
+size_t parsleyspur__fleet_heartbeat__pack
+                     (const Parsleyspur__FleetHeartbeat   *message,
                       uint8_t             *out);
-size_t parsleyspur__fleet_greeting__pack_to_buffer
-                     (const Parsleyspur__FleetGreeting   *message,
+size_t parsleyspur__fleet_heartbeat__pack_to_buffer
+                     (const Parsleyspur__FleetHeartbeat   *message,
                       ProtobufCBuffer     *buffer);
-Parsleyspur__FleetGreeting *
-       parsleyspur__fleet_greeting__unpack
+Parsleyspur__FleetHeartbeat *
+       parsleyspur__fleet_heartbeat__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   parsleyspur__fleet_greeting__free_unpacked
-                     (Parsleyspur__FleetGreeting *message,
+void   parsleyspur__fleet_heartbeat__free_unpacked
+                     (Parsleyspur__FleetHeartbeat *message,
                       ProtobufCAllocator *allocator);
 /* Parsleyspur__FleetSubmit methods */
 void   parsleyspur__fleet_submit__init
@@ -294,8 +294,8 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
-typedef void (*Parsleyspur__FleetGreeting_Closure)
-                 (const Parsleyspur__FleetGreeting *message,
+typedef void (*Parsleyspur__FleetHeartbeat_Closure)
+                 (const Parsleyspur__FleetHeartbeat *message,
                   void *closure_data);
 typedef void (*Parsleyspur__FleetSubmit_Closure)
                  (const Parsleyspur__FleetSubmit *message,
@@ -321,7 +321,7 @@
 
 /* --- descriptors --- */
 
-extern const ProtobufCMessageDescriptor parsleyspur__fleet_greeting__descriptor;
+extern const ProtobufCMessageDescriptor parsleyspur__fleet_heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor parsleyspur__fleet_submit__descriptor;
 extern const ProtobufCMessageDescriptor parsleyspur__fleet_submit_answer__descriptor;
 extern const ProtobufCMessageDescriptor parsleyspur__fleet_confirm__descriptor;
--- a/tests/property/prop_affinity.cc
+++ b/tests/property/prop_affinity.cc
@@ -27,7 +27,7 @@
 
 struct Flow {
     uint64_t host;
-    uint64_t born;
+    uint64_t incarnation;
     uint32_t cookie;
 };
 
@@ -96,19 +96,20 @@
     case 0: /* another host at the address */
         target.host = ++host_;
         living_[address] = host_;
-        target.born = ++born_;
+        target.incarnation = ++born_;
         tell(&script_, CATALOG_ANNOUNCE, &target);
         break;
     case 1: /* the same host starts again */
         if (host != 0) {
-            target.born = ++born_;
+            target.incarnation = ++born_;
             tell(&script_, CATALOG_ANNOUNCE, &target);
         }
         break;
     case 2:
         if (host != 0) {
             target.state = CATALOG_DRAINING;
-            target.born = catalog_find_target(script_.catalog, host)->born;
+            target.incarnation =
+                catalog_find_target(script_.catalog, host)->incarnation;
             tell(&script_, CATALOG_ANNOUNCE, &target);
         }
         break;
@@ -120,7 +121,8 @@
         break;
     case 4:
         if (host != 0) {
-            target.born = catalog_find_target(script_.catalog, host)->born;
+            target.incarnation =
+                catalog_find_target(script_.catalog, host)->incarnation;
             target.missing = word / 256 % 2 == 0;
             tell(&script_, CATALOG_PRESENCE, &target);
         }
@@ -218,7 +220,7 @@
     }
     if (verdict.action == AFFINITY_FORWARD) {
         flows_[packet.source_port] = {verdict.target->host,
-                                      verdict.target->born,
+                                      verdict.target->incarnation,
                                       verdict.target->cookie};
     }
     return check_opening(daemon, packet, verdict);
--- a/tests/script/fleet-controls/run.sh
+++ b/tests/script/fleet-controls/run.sh
@@ -14,15 +14,15 @@
 reads 5 && echo "an older version changes nothing"
 rm -rf "$RUN_DIR/data/$leader"
 daemon_up "$leader"
-seated() { # how many daemons hold a seat
+voters() { # how many daemons are voters
     local n count=0
     for n in "${CONTROLS[@]}"; do
-        count=$((count + $(metric_is_set "$n" quorum_seat)))
+        count=$((count + $(metric_is_set "$n" quorum_voter)))
     done
     echo "$count"
 }
-three_seated() { [ "$(seated)" -eq 3 ]; }
-wait_for 10 three_seated && echo "three voters again"
+three_voters() { [ "$(voters)" -eq 3 ]; }
+wait_for 10 three_voters && echo "three voters again"
 second=$(leader_name)
 kill_hard "$second"
 put 7 2
--- a/tests/unit/catalog_script.h
+++ b/tests/unit/catalog_script.h
@@ -54,13 +54,14 @@
 
 /* A ready target of POOL at 10.0.0.HOST. */
 static inline struct catalog_target
-target_of(uint64_t host, uint64_t born, uint64_t sequence, const char *pool)
+target_of(uint64_t host, uint64_t incarnation, uint64_t sequence,
+          const char *pool)
 {
     struct catalog_target target;
 
     memset(&target, 0, sizeof(target));
     target.host = host;
-    target.born = born;
+    target.incarnation = incarnation;
     target.sequence = sequence;
     target.address = 0x0a000000U + (uint32_t)host;
     target.port = 8080;
@@ -82,10 +83,11 @@
 }
 
 static inline void
-announce(struct script *script, uint64_t host, uint64_t born,
+announce(struct script *script, uint64_t host, uint64_t incarnation,
          uint64_t sequence, const char *pool)
 {
-    struct catalog_target target = target_of(host, born, sequence, pool);
+    struct catalog_target target =
+        target_of(host, incarnation, sequence, pool);
 
     tell(script, CATALOG_ANNOUNCE, &target);
 }
--- a/tests/unit/test_call_epoch.c
+++ b/tests/unit/test_call_epoch.c
@@ -337,11 +337,10 @@
     assert_int_equal(bench->messages[0].incarnation, 1000);
 }
 
-/* A lead that learns of a higher epoch starts nothing more. */
+/* A new lead with an unanswered request learns of the epoch NUMBER. */
 static void
-test_superseded(void **state)
+supersede(struct bench *bench, uint64_t number)
 {
-    struct bench *bench = *state;
     struct call_event higher;
 
     take_over(bench);
@@ -349,9 +348,18 @@
     collected(bench, 2, 12, false);
     acknowledge(bench, 1, 0);
     assert_false(request(bench, 1));
-    higher = epoch_of(bench, 7, false);
+    higher = epoch_of(bench, number, false);
     step(bench, &higher);
     assert_int_equal(count(bench, CALL_ACT_HAND_ON), 1);
+}
+
+/* A lead that learns of a higher epoch starts nothing more. */
+static void
+test_superseded(void **state)
+{
+    struct bench *bench = *state;
+
+    supersede(bench, 7);
     assert_int_equal(bench->out.items[0].u.hand_on.packet.released, 7);
     acknowledge(bench, 1, 1);
     acknowledge(bench, 2, 1);
@@ -364,16 +372,8 @@
 test_superseded_later(void **state)
 {
     struct bench *bench = *state;
-    struct call_event higher;
 
-    take_over(bench);
-    collected(bench, 1, 11, false);
-    collected(bench, 2, 12, false);
-    acknowledge(bench, 1, 0);
-    assert_false(request(bench, 1));
-    higher = epoch_of(bench, 8, false);
-    step(bench, &higher);
-    assert_int_equal(count(bench, CALL_ACT_HAND_ON), 1);
+    supersede(bench, 8);
     assert_int_equal(bench->out.items[0].u.hand_on.packet.released, 0);
 }
 
--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -88,7 +88,7 @@
     assert_int_equal(catalog_find_target(script.catalog, 1)->state,
                      CATALOG_DRAINING);
     announce(&script, 1, 90, 99, "desk"); /* of an earlier incarnation */
-    assert_int_equal(catalog_find_target(script.catalog, 1)->born, 100);
+    assert_int_equal(catalog_find_target(script.catalog, 1)->incarnation, 100);
     catalog_free(script.catalog);
 }
 
@@ -190,7 +190,7 @@
                      catalog_revision(script.catalog));
     assert_int_equal(catalog_version(replica), 8);
     assert_int_equal(catalog_route_count(replica), 1);
-    assert_int_equal(catalog_find_target(replica, 1)->born, 100);
+    assert_int_equal(catalog_find_target(replica, 1)->incarnation, 100);
     assert_null(catalog_document(replica));
     assert_string_equal(catalog_pool_name(replica, view_pool_id("desk")),
                         "desk");
--- a/tests/unit/test_fleet_seats.c
+++ b/tests/unit/test_fleet_replace.c
@@ -1,4 +1,4 @@
-/* Which standby gets which seat. */
+/* Which standby replaces which voter. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -6,7 +6,7 @@
 
 #include <cmocka.h>
 
-#include "fleet/fleet_seats.h"
+#include "fleet/fleet_replace.h"
 
 static const struct fleet_standby standbys[] = {{40, 2}, {50, 4}};
 
@@ -18,51 +18,51 @@
 static void
 test_all_heard(void **state)
 {
-    const struct fleet_seat_view seats[] = {
+    const struct fleet_voter_view voters[] = {
         {10, 1, true}, {20, 2, true}, {30, 3, true}};
 
     (void)state;
-    assert_int_equal(fleet_seats_decide(seats, 3, standbys, 2).address, 0);
+    assert_int_equal(fleet_replace_choose(voters, 3, standbys, 2).address, 0);
 }
 
 /* The standby of a zone without a voter is taken before the first one. */
 static void
 test_lost_voter(void **state)
 {
-    const struct fleet_seat_view seats[] = {
+    const struct fleet_voter_view voters[] = {
         {10, 1, true}, {20, 2, true}, {30, 3, false}};
-    struct fleet_seat_change change;
+    struct fleet_replacement change;
 
     (void)state;
-    change = fleet_seats_decide(seats, 3, standbys, 2);
-    assert_int_equal(change.seat, 2);
+    change = fleet_replace_choose(voters, 3, standbys, 2);
+    assert_int_equal(change.voter, 2);
     assert_int_equal(change.address, 50);
 }
 
 static void
 test_vacant_first(void **state)
 {
-    const struct fleet_seat_view seats[] = {{10, 1, true},
-                                            {20, 4, true},
-                                            {30, 3, true},
-                                            {0, 0, false},
-                                            {0, 0, false}};
-    struct fleet_seat_change change;
+    const struct fleet_voter_view voters[] = {{10, 1, true},
+                                              {20, 4, true},
+                                              {30, 3, true},
+                                              {0, 0, false},
+                                              {0, 0, false}};
+    struct fleet_replacement change;
 
     (void)state;
-    change = fleet_seats_decide(seats, 5, standbys, 2);
-    assert_int_equal(change.seat, 3);
+    change = fleet_replace_choose(voters, 5, standbys, 2);
+    assert_int_equal(change.voter, 3);
     assert_int_equal(change.address, 40);
 }
 
 static void
 test_no_standby(void **state)
 {
-    const struct fleet_seat_view seats[] = {
+    const struct fleet_voter_view voters[] = {
         {10, 1, true}, {20, 2, false}, {30, 3, true}};
 
     (void)state;
-    assert_int_equal(fleet_seats_decide(seats, 3, standbys, 0).address, 0);
+    assert_int_equal(fleet_replace_choose(voters, 3, standbys, 0).address, 0);
 }
 
 int
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -128,7 +128,7 @@
     assert_int_equal(call.u.target.state, CATALOG_DRAINING);
     assert_int_equal(call.u.target.cold_ms, 5);
     assert_int_equal(call.u.target.sequence, 9);
-    assert_int_equal(call.u.target.born, 77);
+    assert_int_equal(call.u.target.incarnation, 77);
     assert_int_equal(call.u.target.pool.value, view_pool_id("s").value);
 }
 
@@ -177,9 +177,9 @@
     (void)state;
     assert_int_equal(call.kind, FLEET_CALL_LEAVE);
     assert_int_equal(call.u.target.host, 16);
-    assert_int_equal(call.u.target.born, 0);
+    assert_int_equal(call.u.target.incarnation, 0);
     call = decode("POST", "/v1/Instances.Deregister/i-10", "{\"born\":5}");
-    assert_int_equal(call.u.target.born, 5);
+    assert_int_equal(call.u.target.incarnation, 5);
     call = decode("POST", "/v1/Instances.Deregister/i-10", "nonsense");
     assert_int_equal(call.kind, FLEET_CALL_BAD);
 }
