Hand calls on by TCP again, with a bound on the age of each packet

With 20% of packets lost between daemons an answer handed on by UDP is lost, and the target answers once: calls end unknown (script/peers-lose-packets, red).

Change: a receiver hands out a stamp of its own clock with each answer to a hello and to a ping; a packet handed on carries the last one back. So the receiver knows a bound on its age without a common clock, summed up over hops. A caller's packet older than the retry window (5 s, by which ids outlive their deadline) goes no further; answers do, however late. Packets that waited for a connection while the process stood still get no stamp and are dropped. The inner protocol's version is 2. One function reads CLOCK_BOOTTIME, for fleets and stamps.

Weighed: clocks synchronised by round trips (an offset to keep for each peer, and its error to bound), or an age counted by the sender (does not know what the connection holds back).

--- a/src/call/call.h
+++ b/src/call/call.h
@@ -42,6 +42,7 @@
     const uint8_t *payload; /* of the inner UDP datagram */
     size_t payload_len;
     uint32_t hops;     /* times that it was handed on */
+    uint64_t age_us;   /* at most so long on its way between daemons */
     bool former;       /* to a lead of an earlier epoch: don't hand on */
     uint64_t released; /* epoch that may run it: its recorder gave it up */
 };
@@ -101,6 +102,7 @@
     CALL_REASON_HOPS,
     CALL_REASON_STALLED, /* of unknown age: the daemon has just stood still */
     CALL_REASON_NO_LEAD,
+    CALL_REASON_AGED, /* too long on its way between daemons */
     CALL_REASON__MAX
 };
 
--- a/src/call/call_core.c
+++ b/src/call/call_core.c
@@ -50,6 +50,7 @@
     [CALL_REASON_HOPS] = "hops",
     [CALL_REASON_STALLED] = "stalled",
     [CALL_REASON_NO_LEAD] = "no-lead",
+    [CALL_REASON_AGED] = "aged",
 };
 
 static struct call_pool *pool_of(struct call_core *, struct pool_id);
--- a/src/call/call_packet.c
+++ b/src/call/call_packet.c
@@ -82,7 +82,11 @@
             packet->option.kind == CALL_REQUEST);
 }
 
-/* Decide a packet here, or hand it on to the pool's lead. */
+/*
+ * Decide a packet here, or hand it on to the pool's lead.  A caller's packet
+ * that was on its way for longer than ids are remembered beyond their deadline
+ * may be a copy of a call whose record has expired: it goes no further.
+ */
 void
 call_packet(struct call_step *step, struct call_pool *pool,
             const struct call_packet *packet)
@@ -102,6 +106,11 @@
         call_drop(step, pool, CALL_REASON_STALLED);
         return;
     }
+    if (packet->target == 0 &&
+        packet->age_us > step->core->options.retry_window_us) {
+        call_drop(step, pool, CALL_REASON_AGED);
+        return;
+    }
     if (packet->former && (call == NULL || call->state == CALL_FORMER)) {
         former_unknown(step, pool, packet);
         return;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -58,6 +58,7 @@
 struct channel_row {
     void (*message)(struct daemon *, struct daemon_id from, const uint8_t *,
                     size_t);
+    void (*aged)(struct daemon *, uint64_t age_us, const uint8_t *, size_t);
     void (*datagram)(struct daemon *, const uint8_t *, size_t);
 };
 
@@ -69,7 +70,7 @@
     [PEER_CALL] = {.message = daemon_call_message},
     [PEER_MEMBER] = {.datagram = daemon_member_datagram},
     [PEER_HANDON_FLOW] = {.datagram = daemon_packet_hand_in},
-    [PEER_HANDON_CALL] = {.datagram = daemon_call_hand_in},
+    [PEER_HANDON_CALL] = {.aged = daemon_call_hand_in},
     [PEER_RELAY] = {.datagram = daemon_packet_relayed},
 };
 
@@ -79,12 +80,17 @@
            enum peer_channel channel, const uint8_t *data, size_t len)
 {
     struct daemon *daemon = user;
+    const struct channel_row *row = &channels[channel];
 
-    if (channels[channel].message == NULL) {
+    if (row->message != NULL) {
+        row->message(daemon, from->id, data, len);
+    }
+    else if (row->aged != NULL) {
+        row->aged(daemon, from->age_us, data, len);
+    }
+    else {
         counter_add(&daemon->counters, COUNTER_PEER_BAD_FRAMES, 1);
-        return;
     }
-    channels[channel].message(daemon, from->id, data, len);
 }
 
 /* A datagram of a peer, to the core of its channel. */
--- a/src/daemon/daemon_call.c
+++ b/src/daemon/daemon_call.c
@@ -135,10 +135,7 @@
                 datagram.target.address);
 }
 
-/*
- * Hand a call's packet on to the call lead, by UDP: what TCP holds back during
- * a cut arrives after the ids of its time are forgotten, and would run again.
- */
+/* Hand a call's packet on to the call lead. */
 static void
 hand_on(struct daemon *daemon, const struct call_action *action)
 {
@@ -148,9 +145,8 @@
 
     call_wire_pack_packet(packet, bytes);
     counter_add(&daemon->counters, COUNTER_PACKETS_HANDED_ON, 1);
-    if (address == 0 ||
-        !mesh_send_datagram(daemon->mesh, address, PEER_HANDON_CALL, NULL, 0,
-                            bytes->data, bytes->len)) {
+    if (!mesh_send(daemon->mesh, action->u.hand_on.to, PEER_HANDON_CALL,
+                   bytes->data, bytes->len)) {
         counter_add(&daemon->counters, COUNTER_DROP_SEND, 1);
     }
     g_byte_array_unref(bytes);
@@ -158,9 +154,10 @@
                 SPAN_HAND_ON, g_get_real_time(), address);
 }
 
-/* Take in a call's packet that a peer handed on. */
+/* Take in a call's packet that a peer handed on at most AGE_US ago. */
 void
-daemon_call_hand_in(struct daemon *daemon, const uint8_t *data, size_t len)
+daemon_call_hand_in(struct daemon *daemon, uint64_t age_us,
+                    const uint8_t *data, size_t len)
 {
     struct call_event event = {.kind = CALL_EV_PACKET};
 
@@ -169,6 +166,9 @@
         return;
     }
     counter_add(&daemon->counters, COUNTER_PACKETS_HANDED_IN, 1);
+    event.u.packet.age_us = age_us > UINT64_MAX - event.u.packet.age_us
+                                ? UINT64_MAX
+                                : event.u.packet.age_us + age_us;
     step(daemon, &event);
     call_wire_packet_clear(&event.u.packet);
 }
--- a/src/daemon/daemon_private.h
+++ b/src/daemon/daemon_private.h
@@ -162,7 +162,8 @@
 void daemon_call_packet(struct daemon *, const struct geneve_packet *,
                         const struct daemon_route *, uint32_t outer_src,
                         bool from_target);
-void daemon_call_hand_in(struct daemon *, const uint8_t *, size_t);
+void daemon_call_hand_in(struct daemon *, uint64_t age_us, const uint8_t *,
+                         size_t);
 void daemon_call_message(struct daemon *, struct daemon_id from,
                          const uint8_t *, size_t);
 void daemon_call_stop(struct daemon *);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -26,19 +26,6 @@
                         const uint8_t *, size_t);
 static void release(struct fleet *);
 
-/*
- * The clock of every decision.  It counts the time of a suspended machine, so
- * that a lease does not outlive a suspension.
- */
-uint64_t
-fleet_now_us(void)
-{
-    struct timespec now;
-
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
-}
-
 /* How long ago SINCE_US was; 0 if the clock was read after NOW_US for it. */
 uint64_t
 fleet_elapsed_us(uint64_t now_us, uint64_t since_us)
@@ -98,7 +85,7 @@
 on_tick(uv_timer_t *timer)
 {
     struct fleet *fleet = timer->data;
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
 
     if (now_us >= fleet->seeds_us) {
         fleet->seeds_us = now_us + SEEDS_EVERY_US;
@@ -123,7 +110,7 @@
 {
     struct fleet *fleet = handle->data;
 
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "stop",
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "stop",
                    "\"signal\":%d,\"planned\":%s", number,
                    fleet->stopping ? "false" : "true");
     fleet_log_flush(fleet->log);
@@ -147,7 +134,7 @@
 
     (void)number;
     fleet_read_seeds(fleet);
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "reload",
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "reload",
                    "\"seeds\":%zu", fleet->seeds.count);
 }
 
@@ -188,7 +175,7 @@
     fleet->options = options;
     fleet->zone = view_zone_id(options->zone);
     fleet->log = fleet_log_new(&log);
-    fleet_log_take_glib(fleet->log, fleet_now_us);
+    fleet_log_take_glib(fleet->log, clock_boottime_us);
     fleet->catalog = catalog_new();
     fleet->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     fleet->mesh_settings.name = view_address_text(options->address);
@@ -285,12 +272,12 @@
         uv_signal_start(&fleet->sigterm, on_stop, SIGTERM);
         uv_signal_start(&fleet->sigint, on_stop, SIGINT);
         uv_signal_start(&fleet->sighup, on_reload, SIGHUP);
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "start",
-                       "\"role\":\"%s\",\"zone\":\"%s\",\"seeds\":%zu,"
-                       "\"first_start\":%s",
-                       options->role == FLEET_ENTRY ? "entry" : "control",
-                       options->zone, fleet->seeds.count,
-                       options->first_start ? "true" : "false");
+        fleet_log_line(
+            fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "start",
+            "\"role\":\"%s\",\"zone\":\"%s\",\"seeds\":%zu,"
+            "\"first_start\":%s",
+            options->role == FLEET_ENTRY ? "entry" : "control", options->zone,
+            fleet->seeds.count, options->first_start ? "true" : "false");
         fleet_log_flush(fleet->log);
     }
     else {
--- a/src/fleet/fleet_calls.c
+++ b/src/fleet/fleet_calls.c
@@ -55,7 +55,7 @@
 {
     char *text = log_json_text(fault);
 
-    fleet_log_line(fleet->log, FLEET_LOG_REQUEST, fleet_now_us(),
+    fleet_log_line(fleet->log, FLEET_LOG_REQUEST, clock_boottime_us(),
                    "call-refused", "\"status\":%u,\"fault\":%s", status, text);
     fleet_answer(fleet, request->handle, status, fault);
     g_free(text);
@@ -86,13 +86,13 @@
     }
     command.u.target = *target;
     waiter.u.http = request->handle;
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "announcement",
-                   "\"target\":\"%" G_GINT64_MODIFIER
-                   "x\",\"pool\":\"%" G_GINT64_MODIFIER
-                   "x\",\"state\":%d,\"incarnation\":%" G_GUINT64_FORMAT
-                   ",\"sequence\":%" G_GUINT64_FORMAT,
-                   target->host, target->pool.value, target->state,
-                   target->incarnation, target->sequence);
+    fleet_log_line(
+        fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "announcement",
+        "\"target\":\"%" G_GINT64_MODIFIER "x\",\"pool\":\"%" G_GINT64_MODIFIER
+        "x\",\"state\":%d,\"incarnation\":%" G_GUINT64_FORMAT
+        ",\"sequence\":%" G_GUINT64_FORMAT,
+        target->host, target->pool.value, target->state, target->incarnation,
+        target->sequence);
     fleet_request_command(fleet, &command, &waiter);
 }
 
@@ -123,7 +123,7 @@
     struct catalog_command command = {.kind = CATALOG_REPLACE};
     struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL, .what = "tables"};
 
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "tables",
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "tables",
                    "\"version\":%" G_GUINT64_FORMAT
                    ",\"in_force\":%" G_GUINT64_FORMAT ",\"routes\":%u",
                    tables->version, catalog_version(fleet->catalog),
--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -63,8 +63,9 @@
         PARSLEYSPUR__FLEET_SUBMIT_ANSWER__INIT;
 
     answer.id = confirm->id;
-    answer.committed = control->leading &&
-                       quorum_core_read_ok(control->quorum, fleet_now_us());
+    answer.committed =
+        control->leading &&
+        quorum_core_read_ok(control->quorum, clock_boottime_us());
     answer.revision = catalog_changed(fleet->catalog);
     message.confirm_answer = &answer;
     fleet_send(fleet, peer->address, &message);
@@ -133,7 +134,7 @@
 void
 fleet_control_begin_stop(struct fleet *fleet)
 {
-    fleet->stop_us = fleet_now_us() + STOP_US;
+    fleet->stop_us = clock_boottime_us() + STOP_US;
 }
 
 void
@@ -170,7 +171,7 @@
         {"quorum_leading", "Whether this daemon leads.", "gauge",
          control->leading ? 1 : 0},
         {"quorum_lag_ms", "Since the leader was heard.", "gauge",
-         (double)fleet_heartbeat_lag_us(fleet, fleet_now_us()) / 1000},
+         (double)fleet_heartbeat_lag_us(fleet, clock_boottime_us()) / 1000},
         {"calls_unavailable_total", "Calls without a majority in time.",
          "counter", (double)control->unavailable},
         {"announcements_total", "Announcements of targets.", "counter",
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -39,7 +39,7 @@
 {
     struct affinity_options affinity = {
         .zone = fleet->zone,
-        .seed = hash_pair(fleet->options->address, fleet_now_us()),
+        .seed = hash_pair(fleet->options->address, clock_boottime_us()),
     };
     struct http_options http = {
         .loop = &fleet->loop,
@@ -138,7 +138,7 @@
     const struct fleet *fleet = data;
     const struct fleet_peer *x = *(struct fleet_peer *const *)a;
     const struct fleet_peer *y = *(struct fleet_peer *const *)b;
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
     uint64_t own = fleet->options->address;
     bool x_current = is_current(x, now_us), y_current = is_current(y, now_us);
     bool x_near = x->zone == fleet->zone, y_near = y->zone == fleet->zone;
@@ -311,7 +311,7 @@
             const ProtobufCBinaryData *update)
 {
     struct catalog_change change;
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
     uint64_t before = catalog_revision(fleet->catalog);
 
     if (!catalog_merge(fleet->catalog, update->data, update->len, &change)) {
@@ -340,7 +340,7 @@
                     const Parsleyspur__FleetMessage *message)
 {
     struct fleet_entry *entry = fleet->entry;
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
 
     if (message->heartbeat != NULL) {
         fleet_peer_heard(fleet, peer, message->heartbeat);
@@ -368,7 +368,7 @@
     uint32_t limit_ms =
         grace_ms > STOP_SPARE_MS ? grace_ms - STOP_SPARE_MS : grace_ms / 2;
 
-    fleet->entry->stop_begun_us = fleet_now_us();
+    fleet->entry->stop_begun_us = clock_boottime_us();
     fleet->stop_us = fleet->entry->stop_begun_us + (uint64_t)limit_ms * 1000;
 }
 
--- a/src/fleet/fleet_heartbeat.c
+++ b/src/fleet/fleet_heartbeat.c
@@ -16,7 +16,7 @@
 fleet_heartbeat_leader(const struct fleet *fleet)
 {
     const struct fleet_control *control = fleet->control;
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
     GHashTableIter iter;
     gpointer key, value;
 
@@ -59,7 +59,7 @@
 bool
 fleet_heartbeat_in_touch(const struct fleet *fleet)
 {
-    return fleet_heartbeat_lag_us(fleet, fleet_now_us()) < FLEET_FRESH_US;
+    return fleet_heartbeat_lag_us(fleet, clock_boottime_us()) < FLEET_FRESH_US;
 }
 
 static void
@@ -104,7 +104,7 @@
 send_heartbeat(struct fleet *fleet, uint32_t address, bool answer)
 {
     Parsleyspur__FleetMessage *message = g_malloc0(sizeof(*message));
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
 
     parsleyspur__fleet_message__init(message);
     message->heartbeat = g_malloc0(sizeof(*message->heartbeat));
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -117,7 +117,7 @@
 drain(struct fleet *fleet)
 {
     struct fleet_entry *entry = fleet->entry;
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
     const struct shape_packet *packet;
     uint64_t wait_us;
 
@@ -204,7 +204,7 @@
     struct affinity_packet packet;
     struct affinity_verdict verdict;
     struct shape_packet out = {.data = entry->encoded};
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
 
     entry->packets_in++;
     entry->packet_us = now_us;
--- a/src/fleet/fleet_peer.c
+++ b/src/fleet/fleet_peer.c
@@ -54,7 +54,7 @@
 fleet_peer_heard(struct fleet *fleet, struct fleet_peer *peer,
                  const Parsleyspur__FleetHeartbeat *heartbeat)
 {
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
 
     if (heartbeat->control && !fleet_peer_is_fresh(peer, now_us)) {
         char *text = view_address_text(peer->address);
@@ -125,7 +125,7 @@
     struct fleet_seeds seeds = {0};
 
     if (!fleet->options->read_seeds(fleet->options->user, &seeds)) {
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
                        "settings-unreadable",
                        "\"remedy\":\"mend the settings; the seeds read "
                        "before stay in use\"");
--- a/src/fleet/fleet_presence.c
+++ b/src/fleet/fleet_presence.c
@@ -49,7 +49,7 @@
 fleet_presence_heard(struct fleet *fleet, uint64_t host)
 {
     if (fleet->control->leading) {
-        note(fleet, host, fleet_now_us());
+        note(fleet, host, clock_boottime_us());
     }
     else {
         g_array_append_val(fleet->control->unsent, host);
@@ -60,7 +60,7 @@
 void
 fleet_presence_told(struct fleet *fleet, const Parsleyspur__FleetHeard *heard)
 {
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
 
     for (size_t i = 0; i < heard->n_hosts; i++) {
         note(fleet, heard->hosts[i], now_us);
@@ -97,7 +97,7 @@
     command.u.target.host = target->host;
     command.u.target.incarnation = target->incarnation;
     command.u.target.missing = true;
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
                    "target-missing",
                    "\"target\":\"%" G_GINT64_MODIFIER "x\",\"pool\":%s",
                    target->host, pool);
--- a/src/fleet/fleet_private.h
+++ b/src/fleet/fleet_private.h
@@ -4,6 +4,7 @@
 
 #include <uv.h>
 
+#include "base/clock.h"
 #include "base/counter.h"
 #include "fleet/fleet.h"
 #include "fleet/fleet_log.h"
@@ -65,7 +66,6 @@
 };
 
 /* fleet.c */
-uint64_t fleet_now_us(void);
 uint64_t fleet_elapsed_us(uint64_t now_us, uint64_t since_us);
 void fleet_end(struct fleet *);
 
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -48,7 +48,7 @@
     struct fleet *fleet = user;
     struct quorum_event event = {.kind = QUORUM_EV_SPACE};
 
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
                    low ? "disk-nearly-full" : "disk-has-space",
                    "\"effect\":\"%s\"",
                    low ? "changes are refused here while it leads"
@@ -71,7 +71,7 @@
         .self = {control->voter},
         .voter_count = control->voter_count,
         .may_not_found = !may_found,
-        .seed = hash_pair(fleet->options->address, fleet_now_us()),
+        .seed = hash_pair(fleet->options->address, clock_boottime_us()),
         .election_timeout_us = ELECTION_US,
         .heartbeat_us = FLEET_LOG_HEARTBEAT_US,
         .snapshot_entries = SNAPSHOT_ENTRIES,
@@ -81,7 +81,7 @@
     struct storage_report report;
     struct quorum_stored stored;
     char *folder = fleet_voter_log_folder(fleet);
-    uint64_t begun_us = fleet_now_us();
+    uint64_t begun_us = clock_boottime_us();
 
     for (size_t i = 0; i < control->voter_count; i++) {
         options.voters[i].value = i + 1;
@@ -96,8 +96,9 @@
     catalog_free(fleet->catalog);
     fleet->catalog = catalog_new();
     control->packed_revision = UINT64_MAX;
-    control->quorum = quorum_core_new(&options, &stored, fleet_now_us());
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "log-open",
+    control->quorum = quorum_core_new(&options, &stored, clock_boottime_us());
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
+                   "log-open",
                    "\"voter\":%zu,\"empty\":%s,\"records\":%" G_GUINT64_FORMAT
                    ",\"torn_bytes\":%" G_GUINT64_FORMAT
                    ",\"votes\":%s,\"term\":%" G_GUINT64_FORMAT
@@ -106,7 +107,7 @@
                    report.records, report.torn_bytes,
                    quorum_core_votes(control->quorum) ? "true" : "false",
                    quorum_core_term(control->quorum),
-                   (fleet_now_us() - begun_us) / 1000);
+                   (clock_boottime_us() - begun_us) / 1000);
     quorum_stored_clear(&stored);
     return true;
 }
@@ -120,7 +121,7 @@
 
     if (!fleet_quorum_open(fleet, may_found, &error)) {
         text = log_json_text(error->message);
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
                        "log-not-open", "\"error\":%s", text);
         g_free(text);
         g_error_free(error);
@@ -248,7 +249,7 @@
 {
     struct fleet_control *control = fleet->control;
     struct quorum_actions actions = {0};
-    uint64_t now_us = fleet_now_us();
+    uint64_t now_us = clock_boottime_us();
     uint64_t changed = catalog_changed(fleet->catalog);
 
     quorum_core_step(control->quorum, now_us, event, &actions);
@@ -314,7 +315,7 @@
 
     if (!catalog_wire_unpack(data, len, &command)) {
         catalog_skip(fleet->catalog, entry->index);
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
                        "command-unknown",
                        "\"index\":%" G_GUINT64_FORMAT
                        ",\"remedy\":\"run one release on all daemons\"",
@@ -378,7 +379,7 @@
     const uint8_t *data = g_bytes_get_data(snapshot->data, &len);
 
     if (!catalog_merge(fresh, data, len, &change)) {
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
                        "snapshot-damaged", "\"index\":%" G_GUINT64_FORMAT,
                        snapshot->index);
         catalog_free(fresh);
@@ -409,13 +410,13 @@
 {
     struct fleet_control *control = fleet->control;
 
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "quorum-role",
-                   "\"role\":\"%s\",\"term\":%" G_GUINT64_FORMAT
-                   ",\"leader_voter\":%" G_GUINT64_FORMAT
-                   ",\"commit\":%" G_GUINT64_FORMAT,
-                   quorum_role_name(action->u.role.role), action->u.role.term,
-                   action->u.role.leader.value,
-                   quorum_core_commit(control->quorum));
+    fleet_log_line(
+        fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "quorum-role",
+        "\"role\":\"%s\",\"term\":%" G_GUINT64_FORMAT
+        ",\"leader_voter\":%" G_GUINT64_FORMAT
+        ",\"commit\":%" G_GUINT64_FORMAT,
+        quorum_role_name(action->u.role.role), action->u.role.term,
+        action->u.role.leader.value, quorum_core_commit(control->quorum));
     if (action->u.role.role != QUORUM_LEADER) {
         control->leading = false;
     }
--- a/src/fleet/fleet_request.c
+++ b/src/fleet/fleet_request.c
@@ -23,7 +23,7 @@
 
     request->id = ++fleet->control->next_request;
     request->waiter = *waiter;
-    request->begun_us = fleet_now_us();
+    request->begun_us = clock_boottime_us();
     request->deadline_us = request->begun_us + limit_us;
     g_hash_table_insert(fleet->control->requests, &request->id, request);
     return request;
@@ -67,17 +67,17 @@
 
     fleet->control->unavailable += ok ? 0 : 1;
     counter_latency(fleet->control->latency,
-                    fleet_elapsed_us(fleet_now_us(), request->begun_us));
+                    fleet_elapsed_us(clock_boottime_us(), request->begun_us));
     if (waiter->kind != FLEET_WAITER_NONE) {
         fleet_log_line(
-            fleet->log, FLEET_LOG_REQUEST, fleet_now_us(), "call-done",
+            fleet->log, FLEET_LOG_REQUEST, clock_boottime_us(), "call-done",
             "\"what\":\"%s\",\"id\":%" G_GUINT64_FORMAT
             ",\"ok\":%s,\"revision\":%" G_GUINT64_FORMAT
             ",\"version\":%" G_GUINT64_FORMAT
             ",\"took_ms\":%" G_GUINT64_FORMAT,
             waiter->what, request->id, ok ? "true" : "false",
             catalog_revision(fleet->catalog), catalog_version(fleet->catalog),
-            (fleet_now_us() - request->begun_us) / 1000);
+            (clock_boottime_us() - request->begun_us) / 1000);
     }
     switch (waiter->kind) {
     case FLEET_WAITER_NONE:
@@ -163,7 +163,7 @@
     if (control->leading) {
         fleet_request_done(
             fleet, request->id,
-            quorum_core_read_ok(control->quorum, fleet_now_us()));
+            quorum_core_read_ok(control->quorum, clock_boottime_us()));
         return;
     }
     if (fleet_heartbeat_leader(fleet) == 0) {
--- a/src/fleet/fleet_voter.c
+++ b/src/fleet/fleet_voter.c
@@ -69,7 +69,8 @@
     control->formed = true;
     fleet_voter_remove_logs(fleet);
     fleet_voter_file_write(fleet);
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "voter-begun",
+    fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
+                   "voter-begun",
                    "\"voter\":%zu,\"revision\":%" G_GUINT64_FORMAT,
                    control->voter, control->voters[index].revision);
     fleet_quorum_try_open(fleet, false);
@@ -81,10 +82,10 @@
 {
     struct fleet_control *control = fleet->control;
 
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(), "voter-ended",
-                   "\"voter\":%zu,\"revision\":%" G_GUINT64_FORMAT,
-                   control->voter,
-                   control->voters[control->voter - 1].revision);
+    fleet_log_line(
+        fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "voter-ended",
+        "\"voter\":%zu,\"revision\":%" G_GUINT64_FORMAT, control->voter,
+        control->voters[control->voter - 1].revision);
     fleet_request_fail_all(fleet);
     fleet_quorum_close(fleet);
     control->voter = 0;
@@ -132,7 +133,7 @@
         char *text = view_address_text(address);
 
         fleet_log_line(
-            fleet->log, FLEET_LOG_STATE, fleet_now_us(), "voter",
+            fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "voter",
             "\"voter\":%zu,\"address\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
             index + 1, text, revision);
         g_free(text);
--- a/src/fleet/fleet_voter_file.c
+++ b/src/fleet/fleet_voter_file.c
@@ -93,7 +93,7 @@
 
     if (!write_file(new_path, bytes) || rename(new_path, path) != 0 ||
         !sync_folder(fleet->options->data_dir)) {
-        fleet_log_line(fleet->log, FLEET_LOG_STATE, fleet_now_us(),
+        fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
                        "voters-not-stored",
                        "\"error\":\"%s\",\"remedy\":\"see to the data "
                        "folder's disk\"",
--- a/src/peer/call.pb-c.c
+++ b/src/peer/call.pb-c.c
@@ -316,7 +316,7 @@
   (ProtobufCMessageInit) parsleyspur__call_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__call_hand_on__field_descriptors[11] =
+static const ProtobufCFieldDescriptor parsleyspur__call_hand_on__field_descriptors[12] =
 {
   {
     "pool",
@@ -450,8 +450,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__CallHandOn, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__call_hand_on__field_indices_by_name[] = {
+  11,   /* field[11] = age_us */
   1,   /* field[1] = caller */
   3,   /* field[3] = caller_port */
   7,   /* field[7] = former */
@@ -467,7 +480,7 @@
 static const ProtobufCIntRange parsleyspur__call_hand_on__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor parsleyspur__call_hand_on__descriptor =
 {
@@ -477,7 +490,7 @@
   "Parsleyspur__CallHandOn",
   "parsleyspur",
   sizeof(Parsleyspur__CallHandOn),
-  11,
+  12,
   parsleyspur__call_hand_on__field_descriptors,
   parsleyspur__call_hand_on__field_indices_by_name,
   1,  parsleyspur__call_hand_on__number_ranges,
--- a/src/peer/call.pb-c.h
+++ b/src/peer/call.pb-c.h
@@ -83,10 +83,14 @@
    */
   ProtobufCBinaryData option;
   ProtobufCBinaryData payload;
+  /*
+   * on its way between daemons, at most
+   */
+  uint64_t age_us;
 };
 #define PARSLEYSPUR__CALL_HAND_ON__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__call_hand_on__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL}, {0,NULL}, 0 }
 
 
 /* Parsleyspur__CallMessage methods */
--- a/src/peer/call_wire.c
+++ b/src/peer/call_wire.c
@@ -109,6 +109,7 @@
     wire.hops = packet->hops;
     wire.former = packet->former;
     wire.released = packet->released;
+    wire.age_us = packet->age_us;
     wire.option.data = option;
     wire.option.len =
         call_option_encode(&packet->option, option, sizeof(option));
@@ -146,6 +147,7 @@
         packet->hops = wire->hops;
         packet->former = wire->former;
         packet->released = wire->released;
+        packet->age_us = wire->age_us;
         packet->payload = g_memdup2(wire->payload.data, wire->payload.len);
         packet->payload_len = wire->payload.len;
     }
--- a/src/peer/hello.pb-c.c
+++ b/src/peer/hello.pb-c.c
@@ -200,7 +200,7 @@
   (ProtobufCMessageInit) parsleyspur__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__hello_answer__field_descriptors[3] =
+static const ProtobufCFieldDescriptor parsleyspur__hello_answer__field_descriptors[4] =
 {
   {
     "accepted",
@@ -238,16 +238,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stamp",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__HelloAnswer, stamp),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__hello_answer__field_indices_by_name[] = {
   0,   /* field[0] = accepted */
   2,   /* field[2] = name */
   1,   /* field[1] = reason */
+  3,   /* field[3] = stamp */
 };
 static const ProtobufCIntRange parsleyspur__hello_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor parsleyspur__hello_answer__descriptor =
 {
@@ -257,7 +270,7 @@
   "Parsleyspur__HelloAnswer",
   "parsleyspur",
   sizeof(Parsleyspur__HelloAnswer),
-  3,
+  4,
   parsleyspur__hello_answer__field_descriptors,
   parsleyspur__hello_answer__field_indices_by_name,
   1,  parsleyspur__hello_answer__number_ranges,
--- a/src/peer/hello.pb-c.h
+++ b/src/peer/hello.pb-c.h
@@ -60,10 +60,14 @@
    * the answering daemon's name
    */
   char *name;
+  /*
+   * of its clock; comes back with messages
+   */
+  uint64_t stamp;
 };
 #define PARSLEYSPUR__HELLO_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__hello_answer__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /* Parsleyspur__Hello methods */
--- a/src/peer/mesh.c
+++ b/src/peer/mesh.c
@@ -105,7 +105,7 @@
 {
     struct mesh *mesh = udp->data;
     const uint8_t *data = (const uint8_t *)buffer->base;
-    struct mesh_sender sender = {{0}, 0};
+    struct mesh_sender sender = {.age_us = MESH_AGE_UNKNOWN};
     uint32_t cluster;
 
     (void)flags;
@@ -226,6 +226,7 @@
         struct mesh_link *link = value;
 
         g_byte_array_unref(link->queue);
+        g_array_unref(link->unstamped);
         g_byte_array_unref(link->input);
         g_free(link);
     }
--- a/src/peer/mesh.h
+++ b/src/peer/mesh.h
@@ -4,6 +4,11 @@
  * receives comes in on connections that peers opened.  Datagrams go over one
  * UDP socket.  Messages may be lost when a connection breaks: every user of
  * the mesh repeats what matters.
+ *
+ * A connection can hold a message back for as long as a partition lasts, and
+ * the two ends share no clock.  So the receiver of a message hands out a stamp
+ * of its own clock with each answer, and messages of some channels carry the
+ * last stamp back: the message is not older than its stamp.
  */
 #ifndef PS_PEER_MESH_H
 #define PS_PEER_MESH_H
@@ -20,12 +25,17 @@
 #include "base/view.h"
 #include "peer/frame.h"
 
+#define MESH_AGE_UNKNOWN UINT64_MAX
+
 struct mesh;
 
 /* The far end of a message or datagram. */
 struct mesh_sender {
     struct daemon_id id;
     uint32_t address; /* as the sender states it; 0 on datagrams */
+    /* The message was sent at most so long ago; MESH_AGE_UNKNOWN on datagrams
+     * and on channels whose messages carry no stamp. */
+    uint64_t age_us;
 };
 
 struct mesh_handlers {
--- a/src/peer/mesh_accept.c
+++ b/src/peer/mesh_accept.c
@@ -14,6 +14,7 @@
 static char *hello_fault(const struct mesh *, const Parsleyspur__Hello *);
 static void send_answer(struct mesh_accepted *, const char *fault);
 static void send_pong(struct mesh_accepted *);
+static bool give(struct mesh_accepted *, const struct frame *);
 
 /* Take one connection, unless too many are open. */
 void
@@ -107,6 +108,7 @@
     answer.accepted = fault == NULL;
     answer.reason = (char *)(uintptr_t)(fault == NULL ? "" : fault);
     answer.name = accepted->mesh->settings->name;
+    answer.stamp = clock_boottime_us();
     if (parsleyspur__hello_answer__get_packed_size(&answer) > sizeof(packed)) {
         answer.reason = (char *)(uintptr_t) "refused";
     }
@@ -153,9 +155,11 @@
 send_pong(struct mesh_accepted *accepted)
 {
     GByteArray *frames = g_byte_array_new();
+    uint8_t stamp[MESH_STAMP_LEN];
 
     uv_timer_start(&accepted->limit, on_limit, MESH_SILENCE_MS, 0);
-    frame_append(frames, PEER_PONG, NULL, 0);
+    mesh_put_stamp(stamp, clock_boottime_us());
+    frame_append(frames, PEER_PONG, stamp, sizeof(stamp));
     mesh_write(accepted->mesh, &accepted->tcp, frames);
 }
 
@@ -179,8 +183,32 @@
         counter_add(mesh->counters, COUNTER_PEER_BYTES_IN,
                     FRAME_HEADER_LEN + frame->len);
     }
-    mesh->handlers.message(mesh->handlers.user, &accepted->sender,
-                           frame->channel, frame->payload, frame->len);
+    return give(accepted, frame);
+}
+
+/*
+ * Give a message to its channel, with a bound on its age if it carries a
+ * stamp.  False if the stamp is missing.
+ */
+static bool
+give(struct mesh_accepted *accepted, const struct frame *frame)
+{
+    const struct mesh_handlers *handlers = &accepted->mesh->handlers;
+    const uint8_t *payload = frame->payload;
+    size_t len = frame->len;
+
+    accepted->sender.age_us = MESH_AGE_UNKNOWN;
+    if (mesh_carries_stamp(frame->channel)) {
+        if (len < MESH_STAMP_LEN) {
+            return false;
+        }
+        accepted->sender.age_us =
+            mesh_stamp_age_us(payload, clock_boottime_us());
+        payload += MESH_STAMP_LEN;
+        len -= MESH_STAMP_LEN;
+    }
+    handlers->message(handlers->user, &accepted->sender, frame->channel,
+                      payload, len);
     return true;
 }
 
--- a/src/peer/mesh_link.c
+++ b/src/peer/mesh_link.c
@@ -14,7 +14,11 @@
 static void count(struct mesh *, enum peer_channel, size_t);
 static void send_hello(struct mesh_link *);
 static bool take_answer(struct mesh_link *, const struct frame *);
+static bool take_pong(struct mesh_link *, const struct frame *);
 static bool take_frames(struct mesh_link *);
+static void append(struct mesh_link *, GByteArray *, enum peer_channel,
+                   const uint8_t *, size_t);
+static void flush(struct mesh_link *);
 static void send_ping(struct mesh_link *);
 static unsigned longer(unsigned ms, unsigned max_ms);
 static unsigned jittered(unsigned ms);
@@ -30,6 +34,7 @@
     link->retry_ms = MESH_RETRY_MIN_MS;
     link->open_ms = MESH_OPEN_MIN_MS;
     link->queue = g_byte_array_new();
+    link->unstamped = g_array_new(FALSE, FALSE, sizeof(struct mesh_unstamped));
     link->input = g_byte_array_new();
     uv_timer_init(mesh->loop, &link->retry);
     link->retry.data = link;
@@ -87,6 +92,7 @@
     link->state = MESH_LINK_CLOSING;
     uv_timer_stop(&link->retry);
     g_byte_array_set_size(link->queue, 0);
+    g_array_set_size(link->unstamped, 0);
     uv_close((uv_handle_t *)&link->tcp, on_closed);
 }
 
@@ -210,6 +216,7 @@
         return false;
     }
     accepted = answer->accepted;
+    link->stamp = answer->stamp;
     if (!accepted) {
         counter_add(link->mesh->counters, COUNTER_PEER_REFUSED, 1);
         log_state(G_LOG_LEVEL_WARNING, "peer refused the connection", "reason",
@@ -225,6 +232,18 @@
     return accepted;
 }
 
+/* Read the answer to a ping; false if it is none. */
+static bool
+take_pong(struct mesh_link *link, const struct frame *frame)
+{
+    if (frame->channel != PEER_PONG || frame->len != MESH_STAMP_LEN) {
+        return false;
+    }
+    link->unanswered = 0;
+    link->stamp = mesh_get_stamp(frame->payload);
+    return true;
+}
+
 /* Handle whole frames of the input; false if the link must be dropped. */
 static bool
 take_frames(struct mesh_link *link)
@@ -245,8 +264,7 @@
             ok = take_answer(link, &frame);
         }
         else if (ok) {
-            ok = frame.channel == PEER_PONG;
-            link->unanswered = 0;
+            ok = take_pong(link, &frame);
         }
         done += ok ? used : 0;
     }
@@ -260,7 +278,6 @@
 on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buffer)
 {
     struct mesh_link *link = stream->data;
-    GByteArray *waiting;
 
     if (len > 0) {
         g_byte_array_append(link->input, (const guint8 *)buffer->base,
@@ -272,12 +289,52 @@
         return;
     }
     if (link->state == MESH_LINK_READY && link->queue->len > 0) {
-        waiting = link->queue;
-        link->queue = g_byte_array_new();
-        mesh_write(link->mesh, &link->tcp, waiting);
+        flush(link);
     }
 }
 
+/* Append a message to FRAMES, with the last stamp if it is to carry one. */
+static void
+append(struct mesh_link *link, GByteArray *frames, enum peer_channel channel,
+       const uint8_t *payload, size_t len)
+{
+    GByteArray *stamped;
+
+    if (!mesh_carries_stamp(channel)) {
+        frame_append(frames, channel, payload, len);
+        return;
+    }
+    stamped = g_byte_array_sized_new((guint)(MESH_STAMP_LEN + len));
+    g_byte_array_set_size(stamped, MESH_STAMP_LEN);
+    mesh_put_stamp(stamped->data, link->stamp);
+    g_byte_array_append(stamped, payload, (guint)len);
+    frame_append(frames, channel, stamped->data, stamped->len);
+    g_byte_array_unref(stamped);
+}
+
+/*
+ * Write what has waited for the connection.  The stamp of a message that has
+ * waited here for long would not tell its age, so that it gets none.
+ */
+static void
+flush(struct mesh_link *link)
+{
+    GByteArray *waiting = link->queue;
+    uint64_t now_us = clock_boottime_us();
+
+    for (guint i = 0; i < link->unstamped->len; i++) {
+        const struct mesh_unstamped *frame =
+            &g_array_index(link->unstamped, struct mesh_unstamped, i);
+        bool waited = now_us - frame->queued_us > MESH_QUEUED_MAX_US;
+
+        mesh_put_stamp(waiting->data + frame->offset,
+                       waited ? MESH_STAMP_NONE : link->stamp);
+    }
+    g_array_set_size(link->unstamped, 0);
+    link->queue = g_byte_array_new();
+    mesh_write(link->mesh, &link->tcp, waiting);
+}
+
 /* Packets that are handed on are no control traffic. */
 static void
 count(struct mesh *mesh, enum peer_channel channel, size_t len)
@@ -300,7 +357,7 @@
         GByteArray *frames =
             g_byte_array_sized_new((guint)(FRAME_HEADER_LEN + len));
 
-        frame_append(frames, channel, payload, len);
+        append(link, frames, channel, payload, len);
         count(link->mesh, channel, frames->len);
         return mesh_write(link->mesh, &link->tcp, frames);
     }
@@ -308,7 +365,13 @@
         counter_add(link->mesh->counters, COUNTER_PEER_QUEUE_FULL, 1);
         return false;
     }
-    frame_append(link->queue, channel, payload, len);
+    if (mesh_carries_stamp(channel)) {
+        struct mesh_unstamped frame = {link->queue->len + FRAME_HEADER_LEN,
+                                       clock_boottime_us()};
+
+        g_array_append_val(link->unstamped, frame);
+    }
+    append(link, link->queue, channel, payload, len);
     count(link->mesh, channel, FRAME_HEADER_LEN + len);
     dial(link);
     return true;
--- a/src/peer/mesh_private.h
+++ b/src/peer/mesh_private.h
@@ -2,9 +2,10 @@
 #ifndef PS_PEER_MESH_PRIVATE_H
 #define PS_PEER_MESH_PRIVATE_H
 
+#include "base/clock.h"
 #include "peer/mesh.h"
 
-#define MESH_VERSION      1
+#define MESH_VERSION      2
 #define MESH_QUEUE_MAX    (8U << 20) /* bytes waiting for one peer */
 #define MESH_RETRY_MIN_MS 50
 #define MESH_RETRY_MAX_MS 1000
@@ -19,6 +20,10 @@
 #define MESH_SILENCE_MS    6000 /* without a ping: a peer's one is dead */
 #define MESH_ACCEPTED_MAX  1024 /* connections of peers at once */
 #define MESH_DATAGRAM_HEAD 14   /* bytes: version, channel, cluster, id */
+#define MESH_STAMP_LEN     8    /* bytes in front of a message with a stamp */
+#define MESH_STAMP_NONE    0    /* the peer has handed out none yet */
+/* Longer than any attempt to connect; the process has stood still. */
+#define MESH_QUEUED_MAX_US 2000000U
 
 /* A link's connection; a closing one keeps its handle until libuv is done. */
 enum mesh_link_state {
@@ -43,9 +48,17 @@
     unsigned open_ms;    /* time limit of the next attempt */
     unsigned unanswered; /* pings since the last pong */
     GByteArray *queue;   /* frames that wait for the hello's answer */
+    GArray *unstamped;   /* struct mesh_unstamped: frames of the queue */
+    uint64_t stamp;      /* the last that the peer has handed out */
     GByteArray *input;
 };
 
+/* A queued frame that gets its stamp when the connection is open. */
+struct mesh_unstamped {
+    guint offset; /* of the stamp in the queue */
+    uint64_t queued_us;
+};
+
 /* A connection that a peer opened to this daemon. */
 struct mesh_accepted {
     struct mesh *mesh;
@@ -77,6 +90,11 @@
 bool mesh_write(struct mesh *, uv_tcp_t *, GByteArray *frames);
 void mesh_alloc(uv_handle_t *, size_t, uv_buf_t *);
 
+bool mesh_carries_stamp(enum peer_channel);
+void mesh_put_stamp(uint8_t *, uint64_t stamp);
+uint64_t mesh_get_stamp(const uint8_t *);
+uint64_t mesh_stamp_age_us(const uint8_t *, uint64_t now_us);
+
 void mesh_on_accept(uv_stream_t *, int status);
 void mesh_accepted_close(struct mesh_accepted *);
 struct mesh_link *mesh_link_new(struct mesh *, struct daemon_id);
--- a/tests/property/prop_call_world.h
+++ b/tests/property/prop_call_world.h
@@ -26,6 +26,8 @@
 const uint64_t MS = 1000;
 const uint64_t DEADLINE_MAX = 600 * MS;
 const uint64_t RETRY_WINDOW = 800 * MS;
+const uint32_t HELD_MAX_MS = 3000; /* by a connection during a partition */
+const uint32_t STAMP_MAX_MS = 100; /* by which the bound of an age is wide */
 const uint64_t LEASE = 300 * MS;
 const uint64_t HISTORY = 3500 * MS;
 const uint64_t SETTLE = 3000 * MS;
@@ -111,6 +113,8 @@
     void to_daemon(unsigned daemon, uint64_t incarnation, Action action);
     void step(unsigned daemon, const call_event &event);
     void act(unsigned daemon, const call_action &action);
+    void hand_on(unsigned to, Packet copy);
+    void hand_in(unsigned to, Packet copy, uint64_t sent);
     bool reaches(unsigned from, unsigned to) const;
     void send(const Action &action);
     void packet(unsigned daemon, const Packet &packet);
--- a/tests/property/prop_call_world_run.h
+++ b/tests/property/prop_call_world_run.h
@@ -257,6 +257,34 @@
     });
 }
 
+/*
+ * Hand a packet on by a connection, which may hold it back for as long as a
+ * partition lasts; the receiver knows a bound on the time that this took.
+ */
+inline void
+World::hand_on(unsigned to, Packet copy)
+{
+    uint64_t sent = now_;
+
+    if (options_.lossy && random(20) == 0) {
+        at(now_ + random(HELD_MAX_MS) * MS, [=] { hand_in(to, copy, sent); });
+        return;
+    }
+    send([=] { hand_in(to, copy, sent); });
+}
+
+inline void
+World::hand_in(unsigned to, Packet copy, uint64_t sent)
+{
+    to_daemon(to, 0, [=] {
+        Packet aged = copy;
+
+        aged.head.age_us += now_ - sent;
+        aged.head.age_us += options_.lossy ? random(STAMP_MAX_MS) * MS : 0;
+        packet(to, aged);
+    });
+}
+
 inline void
 World::act(unsigned daemon, const call_action &action)
 {
@@ -279,7 +307,7 @@
         copy.payload.assign((const char *)copy.head.payload,
                             copy.head.payload_len);
         if (reaches(daemon, to)) {
-            send([=] { packet(to, copy); });
+            hand_on(to, copy);
         }
         break;
     }
--- a/tests/unit/test_call.c
+++ b/tests/unit/test_call.c
@@ -545,6 +545,27 @@
     }
 }
 
+/*
+ * A request that a connection held back for longer than ids outlive their
+ * deadline goes no further; an answer does, however late it comes.
+ */
+static void
+test_aged(void **state)
+{
+    struct bench *bench = *state;
+    struct call_packet packet = request_of(7, true);
+
+    packet.hops = 1;
+    packet.age_us = 42000000;
+    take(bench, packet);
+    assert_int_equal(only(bench, CALL_ACT_DROP).u.drop.reason,
+                     CALL_REASON_AGED);
+    assert_int_equal(count(bench, CALL_ACT_SEND), 0);
+    packet.age_us = 4000000;
+    take(bench, packet);
+    assert_int_equal(count(bench, CALL_ACT_SEND), 1);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int
@@ -566,6 +587,7 @@
         TEST(test_bounds),
         TEST(test_stop_alone),
         TEST(test_least_loaded),
+        TEST(test_aged),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_call_wire.c
+++ b/tests/unit/test_call_wire.c
@@ -76,6 +76,7 @@
         .hops = 2,
         .former = true,
         .released = 12,
+        .age_us = 4321000,
     };
     struct call_packet got;
     GByteArray *bytes = g_byte_array_new();
@@ -92,6 +93,7 @@
     assert_int_equal(got.hops, 2);
     assert_true(got.former);
     assert_int_equal(got.released, 12);
+    assert_int_equal(got.age_us, 4321000);
     assert_int_equal(got.payload_len, 7);
     assert_memory_equal(got.payload, "payload", 7);
     call_wire_packet_clear(&got);
--- a/tests/unit/test_mesh.c
+++ b/tests/unit/test_mesh.c
@@ -11,7 +11,7 @@
 
 #include <cmocka.h>
 
-#include "peer/mesh.h"
+#include "peer/mesh_private.h"
 
 #define RUN_LIMIT_MS 5000
 #define BLOCK        "127.203.0."
@@ -25,6 +25,7 @@
     unsigned datagrams;
     char last[32];
     struct daemon_id from;
+    uint64_t age_us;
 };
 
 static uv_loop_t loop;
@@ -43,6 +44,8 @@
 static void test_messages(void **);
 static void test_wrong_cluster(void **);
 static void test_absent_peer(void **);
+static void test_age(void **);
+static void test_stamp(void **);
 
 static void
 on_message(void *user, const struct mesh_sender *from,
@@ -50,11 +53,12 @@
 {
     struct node *node = user;
 
-    assert_int_equal(channel, PEER_FLOW);
+    assert_true(channel == PEER_FLOW || channel == PEER_HANDON_CALL);
     assert_true(len < sizeof(node->last));
     memcpy(node->last, data, len);
     node->last[len] = '\0';
     node->from = from->id;
+    node->age_us = from->age_us;
     node->messages++;
 }
 
@@ -227,6 +231,46 @@
     node_stop(&b);
 }
 
+/* A message of a channel with stamps has an age, queued or sent at once. */
+static void
+test_age(void **state)
+{
+    struct node a, b;
+    struct daemon_id to = view_daemon_id("b");
+
+    (void)state;
+    node_start(&a, "a", "one", BLOCK "1");
+    node_start(&b, "b", "one", BLOCK "2");
+    mesh_set_peer(a.mesh, to, b.settings.address.address);
+    for (unsigned sent = 1; sent <= 2; sent++) {
+        assert_true(mesh_send(a.mesh, to, PEER_HANDON_CALL,
+                              (const uint8_t *)"call", 4));
+        run_until(&b.messages, sent);
+        assert_string_equal(b.last, "call");
+        assert_true(b.age_us < RUN_LIMIT_MS * 1000);
+    }
+    assert_true(send_text(&a, &b, "flow"));
+    run_until(&b.messages, 3);
+    assert_true(b.age_us == MESH_AGE_UNKNOWN);
+    node_stop(&a);
+    node_stop(&b);
+}
+
+/* A bound on the age follows from the stamp alone, or there is none. */
+static void
+test_stamp(void **state)
+{
+    uint8_t stamp[MESH_STAMP_LEN];
+
+    (void)state;
+    mesh_put_stamp(stamp, 1000);
+    assert_int_equal(mesh_stamp_age_us(stamp, 42001000), 42000000);
+    assert_int_equal(mesh_stamp_age_us(stamp, 1000), 0);
+    assert_true(mesh_stamp_age_us(stamp, 999) == MESH_AGE_UNKNOWN);
+    mesh_put_stamp(stamp, MESH_STAMP_NONE);
+    assert_true(mesh_stamp_age_us(stamp, 1000) == MESH_AGE_UNKNOWN);
+}
+
 int
 main(void)
 {
@@ -234,6 +278,8 @@
         cmocka_unit_test(test_messages),
         cmocka_unit_test(test_wrong_cluster),
         cmocka_unit_test(test_absent_peer),
+        cmocka_unit_test(test_age),
+        cmocka_unit_test(test_stamp),
     };
 
     uv_loop_init(&loop);
