Tell a flow's story from the logs; keep lines of failures in their own bound

A call's outcome named neither the target nor the version that it was about, so that leaves and resent tables could not be told apart; announcements turned away without a leader left no line; and under load lines of flows that went well used up the rate that lines of refused ones needed. A refusal for overload did not say what decided it.

Change: `parsleyspur explain ID FILE...` (src/explain, pure) merges the logs, prints the lines about a caller, target or version, what the deciding daemon knew by then, and the cause in words. call-done has target or sent_version, and the lag of the leader; calls that change nothing end like others; call-refused stands for announcements too. FLEET_LOG_FAILURE has a token bucket of its own, and the last quarter of the buffer is kept for changes of state. Openings say the pool's mean time to answer.

Ruled out: reading the requests' own ids out of the flows' bytes: these belong to the two ends.

--- a/src/affinity/affinity.h
+++ b/src/affinity/affinity.h
@@ -65,6 +65,7 @@
     const struct catalog_route *route;   /* openings; NULL if none */
     uint32_t busy;       /* requests of the target in progress, as seen here */
     uint32_t candidates; /* targets that could be chosen from */
+    uint64_t typical_us; /* from request to answer in the pool, as seen here */
 };
 
 /* Members left 0 take the default. */
--- a/src/affinity/affinity_place.c
+++ b/src/affinity/affinity_place.c
@@ -229,11 +229,13 @@
     const struct catalog_target *target;
 
     place.typical_us = typical_answer(core, catalog, place.pool);
+    verdict->typical_us = place.typical_us;
     target = choose(core, catalog, &place, &verdict->candidates);
     verdict->reason = AFFINITY_NO_TARGET;
     if (target != NULL && !affinity_admit(core, route, place.typical_us,
                                           waiting_at(core, target))) {
         verdict->reason = AFFINITY_OVERLOAD;
+        verdict->busy = affinity_load_of(core, target->host)->busy;
         return NULL;
     }
     return target;
--- a/src/cmd/cmd_main.c
+++ b/src/cmd/cmd_main.c
@@ -11,6 +11,7 @@
     {"pool", "list, get, set or delete rows of the pools table", cmd_pool},
     {"edit", "tell how far an edit has come", cmd_edit},
     {"status", "tell members, targets and versions", cmd_status},
+    {"explain", "tell a flow's story from the daemons' logs", cmd_explain},
     {"settings", "check flags and variables without starting", cmd_settings},
     {NULL, NULL, NULL},
 };
--- a/src/fleet/fleet_calls.c
+++ b/src/fleet/fleet_calls.c
@@ -54,9 +54,11 @@
        unsigned status, const char *fault)
 {
     char *text = log_json_text(fault);
+    uint64_t now_us = clock_boottime_us();
 
-    fleet_log_line(fleet->log, FLEET_LOG_REQUEST, clock_boottime_us(),
-                   "call-refused", "\"status\":%u,\"fault\":%s", status, text);
+    fleet_log_line(fleet->log, FLEET_LOG_FAILURE, now_us, "call-refused",
+                   "\"status\":%u,\"fault\":%s,\"lag_ms\":%" G_GUINT64_FORMAT,
+                   status, text, fleet_heartbeat_lag_us(fleet, now_us) / 1000);
     fleet_answer(fleet, request->handle, status, fault);
     g_free(text);
 }
@@ -72,11 +74,12 @@
 {
     struct catalog_command command = {.kind = CATALOG_ANNOUNCE};
     struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL,
-                                  .what = "announcement"};
+                                  .what = "announcement",
+                                  .target = target->host};
 
     if (!fleet_heartbeat_in_touch(fleet)) {
-        fleet_answer(fleet, request->handle, 503,
-                     "cut off from the leader; ask another daemon");
+        refuse(fleet, request, 503,
+               "cut off from the leader; ask another daemon");
         return;
     }
     fleet_presence_heard(fleet, target->host);
@@ -103,15 +106,16 @@
     const struct catalog_target *held =
         catalog_find_target(fleet->catalog, target->host);
     struct catalog_command command = {.kind = CATALOG_LEAVE};
-    struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL, .what = "leave"};
+    struct fleet_waiter waiter = {
+        .kind = FLEET_WAITER_CALL, .what = "leave", .target = target->host};
 
+    waiter.u.http = request->handle;
     if (held != NULL && held->state == CATALOG_GONE &&
         target->incarnation <= held->incarnation) {
-        fleet_answer(fleet, request->handle, 200, NULL);
+        fleet_request_holds(fleet, &waiter);
         return;
     }
     command.u.target = *target;
-    waiter.u.http = request->handle;
     fleet_request_command(fleet, &command, &waiter);
 }
 
@@ -121,19 +125,21 @@
             const struct catalog_tables *tables)
 {
     struct catalog_command command = {.kind = CATALOG_REPLACE};
-    struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL, .what = "tables"};
+    struct fleet_waiter waiter = {.kind = FLEET_WAITER_CALL,
+                                  .what = "tables",
+                                  .version = tables->version};
 
     fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "tables",
                    "\"version\":%" G_GUINT64_FORMAT
                    ",\"in_force\":%" G_GUINT64_FORMAT ",\"routes\":%u",
                    tables->version, catalog_version(fleet->catalog),
                    tables->routes->len);
+    waiter.u.http = request->handle;
     if (tables->version <= catalog_version(fleet->catalog)) {
-        fleet_answer(fleet, request->handle, 200, NULL);
+        fleet_request_holds(fleet, &waiter);
         return;
     }
     command.u.tables = *tables;
-    waiter.u.http = request->handle;
     fleet_request_command(fleet, &command, &waiter);
 }
 
--- a/src/fleet/fleet_control_private.h
+++ b/src/fleet/fleet_control_private.h
@@ -20,6 +20,8 @@
 struct fleet_waiter {
     enum fleet_waiter_kind kind;
     const char *what; /* for the log */
+    uint64_t target;  /* host that the call is about, for the log; or 0 */
+    uint64_t version; /* of the tables that were sent, for the log; or 0 */
     union {
         struct http_handle http; /* CALL, READ */
         struct {
@@ -102,6 +104,7 @@
                            const struct fleet_waiter *);
 void fleet_request_bytes(struct fleet *, const uint8_t *, size_t,
                          const struct fleet_waiter *);
+void fleet_request_holds(struct fleet *, const struct fleet_waiter *);
 void fleet_request_read(struct fleet *, const struct fleet_waiter *);
 void fleet_request_done(struct fleet *, uint64_t id, bool ok);
 void fleet_request_confirmed(struct fleet *, uint64_t id, bool ok,
--- a/src/fleet/fleet_log.c
+++ b/src/fleet/fleet_log.c
@@ -16,11 +16,16 @@
 #define MEMBERS_MAX_BYTES    1024 /* of a line; the rest names daemon and event */
 #define BURST_S              2 /* lines of this many seconds may come at once */
 
+/* Lines that may be written now, and when some were last added. */
+struct log_bucket {
+    double tokens;
+    uint64_t filled_us;
+};
+
 struct fleet_log {
     struct fleet_log_options options;
     GString *buffer;
-    double tokens;
-    uint64_t filled_us; /* when tokens were last added */
+    struct log_bucket buckets[FLEET_LOG_WEIGHT__MAX]; /* not of STATE */
     uint64_t left_out;
     uint64_t told;            /* of left_out, in a line */
     uint64_t (*now_us)(void); /* for lines of other modules */
@@ -49,7 +54,9 @@
         fcntl(options->fd, F_SETFL, flags | O_NONBLOCK);
     }
     log->buffer = g_string_new(NULL);
-    log->tokens = (double)log->options.lines_per_s * BURST_S;
+    for (int i = 0; i < FLEET_LOG_WEIGHT__MAX; i++) {
+        log->buckets[i].tokens = (double)log->options.lines_per_s * BURST_S;
+    }
     return log;
 }
 
@@ -62,25 +69,31 @@
     g_free(log);
 }
 
-/* Whether a line may be written: a token bucket, and room in the buffer. */
+/*
+ * Whether a line may be written: a token bucket for each weight, so that many
+ * requests that go well do not keep out the ones that fail, and room in the
+ * buffer, the last quarter of which is kept for changes of state.
+ */
 static bool
 may_write(struct fleet_log *log, enum fleet_log_weight weight, uint64_t now_us)
 {
+    struct log_bucket *bucket = &log->buckets[weight];
     double rate = (double)log->options.lines_per_s;
-    double passed_s = (double)(now_us - MIN(now_us, log->filled_us)) / 1e6;
+    double passed_s = (double)(now_us - MIN(now_us, bucket->filled_us)) / 1e6;
+    size_t room = log->options.buffer_bytes;
 
-    if (log->buffer->len + LINE_MAX_BYTES > log->options.buffer_bytes) {
-        return false;
-    }
-    log->tokens = MIN(log->tokens + passed_s * rate, rate * BURST_S);
-    log->filled_us = now_us;
     if (weight == FLEET_LOG_STATE) {
-        return true;
+        return log->buffer->len + LINE_MAX_BYTES <= room;
+    }
+    if (log->buffer->len + LINE_MAX_BYTES > room / 4 * 3) {
+        return false;
     }
-    if (log->tokens < 1) {
+    bucket->tokens = MIN(bucket->tokens + passed_s * rate, rate * BURST_S);
+    bucket->filled_us = now_us;
+    if (bucket->tokens < 1) {
         return false;
     }
-    log->tokens--;
+    bucket->tokens--;
     return true;
 }
 
--- a/src/fleet/fleet_log.h
+++ b/src/fleet/fleet_log.h
@@ -15,14 +15,15 @@
 
 enum fleet_log_weight {
     FLEET_LOG_STATE,   /* a change of state: goes before other lines */
-    FLEET_LOG_REQUEST, /* a decision on a single request */
+    FLEET_LOG_FAILURE, /* a request refused, lost or repeated */
+    FLEET_LOG_REQUEST, /* another decision on a single request */
     FLEET_LOG_WEIGHT__MAX
 };
 
 struct fleet_log_options {
     int fd;                /* made non-blocking */
     const char *daemon;    /* outlives the log */
-    uint32_t lines_per_s;  /* of requests; 0 for 100 */
+    uint32_t lines_per_s;  /* of each weight but STATE; 0 for 100 */
     uint32_t buffer_bytes; /* unwritten; 0 for 65,536 */
 };
 
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -166,18 +166,22 @@
 
     inet_ntop(AF_INET, &from, source, sizeof(source));
     fleet_log_line(
-        fleet->log, FLEET_LOG_REQUEST, now_us, "flow",
+        fleet->log,
+        verdict->reason == AFFINITY_PLACED ? FLEET_LOG_REQUEST
+                                           : FLEET_LOG_FAILURE,
+        now_us, "flow",
         "\"caller\":\"%s:%u\",\"to\":\"%u.%u.%u.%u:%u\",\"action\":\"%s\","
         "\"reason\":\"%s\",\"target\":\"%" G_GINT64_MODIFIER
-        "x\",\"busy\":%u,\"candidates\":%u,\"version\":%" G_GUINT64_FORMAT
-        ",\"revision\":%" G_GUINT64_FORMAT ",\"age_ms\":%" G_GUINT64_FORMAT,
+        "x\",\"busy\":%u,\"candidates\":%u,\"answer_ms\":%" G_GUINT64_FORMAT
+        ",\"version\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT
+        ",\"age_ms\":%" G_GUINT64_FORMAT,
         source, packet->source_port, packet->destination >> 24,
         packet->destination >> 16 & 255, packet->destination >> 8 & 255,
         packet->destination & 255, packet->destination_port,
         actions[verdict->action], affinity_reason_name(verdict->reason),
         verdict->target == NULL ? 0 : verdict->target->host, verdict->busy,
-        verdict->candidates, catalog_version(fleet->catalog),
-        catalog_revision(fleet->catalog),
+        verdict->candidates, verdict->typical_us / 1000,
+        catalog_version(fleet->catalog), catalog_revision(fleet->catalog),
         fleet_elapsed_us(now_us, fleet->entry->current_us) / 1000);
 }
 
--- a/src/fleet/fleet_request.c
+++ b/src/fleet/fleet_request.c
@@ -10,6 +10,7 @@
 
 static struct fleet_request *
 request_new(struct fleet *, const struct fleet_waiter *, uint64_t limit_us);
+static void log_done(struct fleet *, const struct fleet_request *, bool ok);
 static void answer(struct fleet *, const struct fleet_request *, bool ok);
 static void answer_peer(struct fleet *, const struct fleet_request *, bool ok);
 static void answer_read(struct fleet *, const struct fleet_request *);
@@ -59,6 +60,38 @@
     fleet_answer_json(fleet, request->waiter.u.http, 200, body, len);
 }
 
+/* A line for the outcome of a call, with what the call was about. */
+static void
+log_done(struct fleet *fleet, const struct fleet_request *request, bool ok)
+{
+    const struct fleet_waiter *waiter = &request->waiter;
+    uint64_t now_us = clock_boottime_us();
+    char subject[64] = "";
+
+    if (waiter->kind == FLEET_WAITER_NONE) {
+        return;
+    }
+    if (waiter->target != 0) {
+        g_snprintf(subject, sizeof(subject),
+                   ",\"target\":\"%" G_GINT64_MODIFIER "x\"", waiter->target);
+    }
+    else if (waiter->version != 0) {
+        g_snprintf(subject, sizeof(subject),
+                   ",\"sent_version\":%" G_GUINT64_FORMAT, waiter->version);
+    }
+    fleet_log_line(
+        fleet->log, ok ? FLEET_LOG_REQUEST : FLEET_LOG_FAILURE, now_us,
+        "call-done",
+        "\"what\":\"%s\",\"id\":%" G_GUINT64_FORMAT
+        "%s,\"ok\":%s,\"revision\":%" G_GUINT64_FORMAT
+        ",\"version\":%" G_GUINT64_FORMAT ",\"lag_ms\":%" G_GUINT64_FORMAT
+        ",\"took_ms\":%" G_GUINT64_FORMAT,
+        waiter->what, request->id, subject, ok ? "true" : "false",
+        catalog_revision(fleet->catalog), catalog_version(fleet->catalog),
+        fleet_heartbeat_lag_us(fleet, now_us) / 1000,
+        fleet_elapsed_us(now_us, request->begun_us) / 1000);
+}
+
 /* Tell whoever waits how the request came out. */
 static void
 answer(struct fleet *fleet, const struct fleet_request *request, bool ok)
@@ -68,17 +101,7 @@
     fleet->control->unavailable += ok ? 0 : 1;
     counter_latency(fleet->control->latency,
                     fleet_elapsed_us(clock_boottime_us(), request->begun_us));
-    if (waiter->kind != FLEET_WAITER_NONE) {
-        fleet_log_line(
-            fleet->log, FLEET_LOG_REQUEST, clock_boottime_us(), "call-done",
-            "\"what\":\"%s\",\"id\":%" G_GUINT64_FORMAT
-            ",\"ok\":%s,\"revision\":%" G_GUINT64_FORMAT
-            ",\"version\":%" G_GUINT64_FORMAT
-            ",\"took_ms\":%" G_GUINT64_FORMAT,
-            waiter->what, request->id, ok ? "true" : "false",
-            catalog_revision(fleet->catalog), catalog_version(fleet->catalog),
-            (clock_boottime_us() - request->begun_us) / 1000);
-    }
+    log_done(fleet, request, ok);
     switch (waiter->kind) {
     case FLEET_WAITER_NONE:
     case FLEET_WAITER__MAX:
@@ -135,6 +158,14 @@
     ask_leader(fleet, &message);
 }
 
+/* Tell WAITER that what it asks for holds already. */
+void
+fleet_request_holds(struct fleet *fleet, const struct fleet_waiter *waiter)
+{
+    fleet_request_done(fleet, request_new(fleet, waiter, COMMAND_LIMIT_US)->id,
+                       true);
+}
+
 /* Have COMMAND committed and tell WAITER. */
 void
 fleet_request_command(struct fleet *fleet,
--- a/tests/unit/test_fleet_log.c
+++ b/tests/unit/test_fleet_log.c
@@ -31,6 +31,7 @@
 static void test_full_pipe(void **);
 static void test_closed_pipe(void **);
 static void test_states_before_requests(void **);
+static void test_failures_before_requests(void **);
 
 static struct piped *
 begin(void)
@@ -194,6 +195,32 @@
     end(piped);
 }
 
+/*
+ * Requests that go well do not keep out the lines of those that fail, which
+ * have a bound of their own.
+ */
+static void
+test_failures_before_requests(void **state)
+{
+    struct piped *piped = begin();
+    uint64_t before;
+
+    (void)state;
+    for (int i = 0; i < MANY; i++) {
+        fleet_log_line(piped->log, FLEET_LOG_REQUEST, NOW_US, "flow",
+                       "\"n\":1");
+    }
+    before = fleet_log_left_out(piped->log);
+    fleet_log_line(piped->log, FLEET_LOG_FAILURE, NOW_US, "flow", "\"n\":2");
+    assert_int_equal(fleet_log_left_out(piped->log), before);
+    for (int i = 0; i < MANY; i++) {
+        fleet_log_line(piped->log, FLEET_LOG_FAILURE, NOW_US, "flow",
+                       "\"n\":2");
+    }
+    assert_true(fleet_log_left_out(piped->log) > before);
+    end(piped);
+}
+
 int
 main(void)
 {
@@ -204,6 +231,7 @@
         cmocka_unit_test(test_full_pipe),
         cmocka_unit_test(test_closed_pipe),
         cmocka_unit_test(test_states_before_requests),
+        cmocka_unit_test(test_failures_before_requests),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
