Keep room for other callers when one opens many connections and waits

Cause: 600 connections from one address, each with half a request line, took all 256 of the administration API for as long as the idle timeout of 30 s: a GET from another address got no answer in 3 s, and an edit failed for 15 s (script/idle-connections, red on the code before).

Change: at most an eighth of a server's connections from one address (the fabric's and the metrics' servers: all, since one asks there), and 5 s without a byte of a request.

Ruled out: closing the oldest idle connection first; libmicrohttpd does not offer it, and the bound for each address leaves seven eighths free.

Left: a count of connections turned away, by reason; the same bound on the inner protocol's port.

--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -10,7 +10,8 @@
 
 #define BODY_MAX_DEFAULT        (1U << 20) /* bytes */
 #define CONNECTIONS_MAX_DEFAULT 256
-#define TIMEOUT_S_DEFAULT       30
+#define ADDRESS_SHARE           8 /* of connections_max, for one address */
+#define TIMEOUT_S_DEFAULT       5
 #define MEMORY_PER_CONNECTION   (32U << 10) /* bytes */
 #define BEARER                  "Bearer "
 
@@ -234,7 +235,8 @@
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request,
         server, MHD_OPTION_SOCK_ADDR, address, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, server, MHD_OPTION_CONNECTION_LIMIT,
-        server->options.connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
+        server->options.connections_max, MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+        server->options.address_max, MHD_OPTION_CONNECTION_TIMEOUT,
         server->options.timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         (size_t)MEMORY_PER_CONNECTION, MHD_OPTION_END);
 }
@@ -260,6 +262,10 @@
     server->options.connections_max = options->connections_max != 0
                                           ? options->connections_max
                                           : CONNECTIONS_MAX_DEFAULT;
+    server->options.address_max =
+        options->address_max != 0
+            ? options->address_max
+            : MAX(server->options.connections_max / ADDRESS_SHARE, 1);
     server->options.timeout_s =
         options->timeout_s != 0 ? options->timeout_s : TIMEOUT_S_DEFAULT;
     server->slots = g_ptr_array_new();
--- a/src/edge/http.h
+++ b/src/edge/http.h
@@ -36,8 +36,11 @@
     struct settings_endpoint listen;
     size_t body_max;          /* bytes; 0 for 1 MB */
     unsigned connections_max; /* 0 for 256 */
-    unsigned timeout_s;       /* of an idle connection; 0 for 30 */
-    bool one_call; /* close after each: callers come rarely, and many */
+    /* Of these from one address, so that a caller who opens many and says
+     * nothing leaves room for others; 0 for an eighth of connections_max. */
+    unsigned address_max;
+    unsigned timeout_s; /* without a byte of a request; 0 for 5 */
+    bool one_call;      /* close after each: callers come rarely, and many */
     void (*handler)(void *user, const struct http_request *);
     void *user;
 };
--- a/src/fleet/fleet_answer.c
+++ b/src/fleet/fleet_answer.c
@@ -74,6 +74,7 @@
         .loop = &fleet->loop,
         .listen = {fleet->options->address, fleet->options->metrics_port},
         .connections_max = 8,
+        .address_max = 8,
         .handler = on_metrics,
         .user = fleet,
     };
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -46,6 +46,7 @@
         .loop = &fleet->loop,
         .listen = fleet->options->readiness,
         .connections_max = 32,
+        .address_max = 32, /* the fabric asks from one */
         .handler = on_call,
         .user = fleet,
     };
