--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -13,6 +13,7 @@
 #define SEEDS_EVERY_US  2000000U /* between looks at the settings' seeds */
 #define CLUSTER_NAME    "fleet"
 #define TICK_ENTRY_MS   100 /* each wake-up costs a small VM time */
+#define TICK_FIRST_MS   10  /* control daemons may have started as well */
 #define TICK_CONTROL_MS 50  /* a part of the heartbeat of the log's leader */
 
 static void init(struct fleet *, const struct fleet_options *);
@@ -268,7 +269,7 @@
         uint64_t every_ms =
             options->role == FLEET_ENTRY ? TICK_ENTRY_MS : TICK_CONTROL_MS;
 
-        uv_timer_start(&fleet->tick, on_tick, every_ms, every_ms);
+        uv_timer_start(&fleet->tick, on_tick, TICK_FIRST_MS, every_ms);
         uv_signal_start(&fleet->sigterm, on_stop, SIGTERM);
         uv_signal_start(&fleet->sigint, on_stop, SIGINT);
         uv_signal_start(&fleet->sighup, on_reload, SIGHUP);
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -12,7 +12,7 @@
 #define SEARCH_MIN_US 100000U /* between heartbeats until there is a catalog */
 #define SEARCH_GROWTH 1.5     /* after each in vain: many may search at once */
 #define SEARCH_COUNT  3U      /* control daemons asked at a time */
-#define STALE_WAIT_US 300000U /* for a current control daemon, at the start */
+#define STALE_WAIT_US 50000U /* for a current control daemon, at the start */
 #define STOP_MIN_US   1200000U /* the fabric asks twice before it moves flows */
 #define STOP_QUIET_US 700000U /* without a packet: the fabric has moved them */
 #define STOP_SPARE_MS 1500U   /* kept of the time before a stop is enforced */
@@ -371,6 +371,7 @@
         fleet_peer_heard(fleet, peer, message->heartbeat);
         if (entry->found_us == 0) {
             entry->found_us = now_us;
+            heartbeat_feeds(fleet, now_us);
         }
         if (is_current(peer, now_us)) {
             entry->current_us = now_us;
