Split the entry role: the search for control daemons and metrics on their own

Change: fleet_search.c holds which control daemons are current, which feed this one and how others are looked for; fleet_entry_metrics.c the metrics. A loop of a test that stood three times is a function. No behaviour changes.

Ruled out: sharing the walk over peers of fleet_search and fleet_heartbeat; they have a shape in common and no rule.

--- /dev/null
+++ b/src/fleet/fleet_entry_metrics.c
@@ -0,0 +1,64 @@
+/* What an entry daemon counts, as metrics. */
+#include "fleet/fleet_entry_private.h"
+
+static void write_verdicts(const struct affinity_counters *, GString *);
+
+/* Append the role's metrics. */
+void
+fleet_entry_metrics(struct fleet *fleet, GString *out)
+{
+    const struct fleet_entry *entry = fleet->entry;
+    const struct affinity_counters *counters =
+        affinity_core_counters(entry->affinity);
+    struct counter_extra extra[] = {
+        {"packets_in_total", "Packets of callers.", "counter",
+         (double)entry->packets_in},
+        {"packets_out_total", "Packets sent on, resets among them.", "counter",
+         (double)entry->packets_out},
+        {"packets_malformed_total", "Datagrams that are no packet.", "counter",
+         (double)entry->malformed},
+        {"packets_lost_total", "Packets that the socket did not take.",
+         "counter", (double)entry->lost},
+        {"resets_total", "Resets sent to callers.", "counter",
+         (double)entry->resets},
+        {"flows_followed", "Flows whose packets come through here.", "gauge",
+         (double)affinity_core_flows(entry->affinity)},
+        {"flows_remote_total", "Openings placed in another zone.", "counter",
+         (double)counters->remote},
+        {"targets_suspected_total", "Targets that stopped answering.",
+         "counter", (double)counters->suspected},
+        {"shaped_packets_total", "Packets that waited for the link.",
+         "counter", (double)shape_counters(entry->shape)->queued},
+        {"shaped_copies_total", "Copies left out of what waits.", "counter",
+         (double)shape_counters(entry->shape)->repeated},
+        {"shaped_drops_total", "Packets above the queue's bound.", "counter",
+         (double)shape_counters(entry->shape)->dropped},
+        {"shaped_wait_max_ms", "Longest wait for the link.", "gauge",
+         (double)shape_counters(entry->shape)->wait_us / 1000},
+        {"ready", "Whether the fabric may send packets.", "gauge",
+         fleet_entry_is_ready(fleet) ? 1 : 0},
+    };
+
+    counter_write_extra(extra, G_N_ELEMENTS(extra), out);
+    counter_write_latency("answer_latency_ms",
+                          "From a caller's request to its answer.",
+                          counters->answers, out);
+    write_verdicts(counters, out);
+}
+
+/* Packets by the reason of their verdict, as labels. */
+static void
+write_verdicts(const struct affinity_counters *counters, GString *out)
+{
+    struct counter_extra rows[AFFINITY_REASON__MAX];
+    char names[AFFINITY_REASON__MAX][64];
+
+    for (int i = 0; i < AFFINITY_REASON__MAX; i++) {
+        g_snprintf(names[i], sizeof(names[i]), "verdicts_total{reason=\"%s\"}",
+                   affinity_reason_name((enum affinity_reason)i));
+        rows[i] =
+            (struct counter_extra){names[i], "Packets by decision.", "counter",
+                                   (double)counters->reasons[i]};
+    }
+    counter_write_extra(rows, AFFINITY_REASON__MAX, out);
+}
--- a/src/fleet/fleet_entry_private.h
+++ b/src/fleet/fleet_entry_private.h
@@ -34,6 +34,16 @@
     uint64_t lost; /* datagrams that the socket did not take */
 };
 
+/* fleet_entry.c */
+bool fleet_entry_is_ready(const struct fleet *);
+
+/* fleet_search.c: the control daemons that feed this one */
+bool fleet_search_is_current(const struct fleet_peer *, uint64_t now_us);
+void fleet_search_feeds(struct fleet *, uint64_t now_us);
+void fleet_search_confirm(struct fleet *);
+uint32_t fleet_search_entries(const struct fleet *, uint64_t now_us);
+uint64_t fleet_search_interval_us(struct fleet_entry *);
+
 /* fleet_packet.c */
 bool fleet_packet_start(struct fleet *, GError **);
 void fleet_packet_close(struct fleet *);
--- a/tests/unit/test_fleet_log.c
+++ b/tests/unit/test_fleet_log.c
@@ -176,6 +176,16 @@
     end(piped);
 }
 
+/* More lines than the rate allows; how many are left out by now. */
+static uint64_t
+write_many(struct piped *piped, enum fleet_log_weight weight)
+{
+    for (int i = 0; i < MANY; i++) {
+        fleet_log_line(piped->log, weight, NOW_US, "flow", "\"n\":1");
+    }
+    return fleet_log_left_out(piped->log);
+}
+
 /* Above the rate, changes of state are written and requests are left out. */
 static void
 test_states_before_requests(void **state)
@@ -184,11 +194,7 @@
     uint64_t before;
 
     (void)state;
-    for (int i = 0; i < MANY; i++) {
-        fleet_log_line(piped->log, FLEET_LOG_REQUEST, NOW_US, "flow",
-                       "\"n\":1");
-    }
-    before = fleet_log_left_out(piped->log);
+    before = write_many(piped, FLEET_LOG_REQUEST);
     assert_true(before > 0);
     fleet_log_line(piped->log, FLEET_LOG_STATE, NOW_US, "role", "\"n\":1");
     assert_int_equal(fleet_log_left_out(piped->log), before);
@@ -206,18 +212,10 @@
     uint64_t before;
 
     (void)state;
-    for (int i = 0; i < MANY; i++) {
-        fleet_log_line(piped->log, FLEET_LOG_REQUEST, NOW_US, "flow",
-                       "\"n\":1");
-    }
-    before = fleet_log_left_out(piped->log);
+    before = write_many(piped, FLEET_LOG_REQUEST);
     fleet_log_line(piped->log, FLEET_LOG_FAILURE, NOW_US, "flow", "\"n\":2");
     assert_int_equal(fleet_log_left_out(piped->log), before);
-    for (int i = 0; i < MANY; i++) {
-        fleet_log_line(piped->log, FLEET_LOG_FAILURE, NOW_US, "flow",
-                       "\"n\":2");
-    }
-    assert_true(fleet_log_left_out(piped->log) > before);
+    assert_true(write_many(piped, FLEET_LOG_FAILURE) > before);
     end(piped);
 }
 
