Write spans of a fleet's flows

Cause: the two roles of a fleet wrote no spans, which the house style asks for; `serve` has them.

Change: PARSLEYSPUR_SPAN_FILE, _SAMPLE and _MAX as for `serve`, checked the same way; a span from the fabric to the decision and one for what was sent on or refused, for openings, requests and refusals of sampled flows. The trace is a hash of the flow, so that a flow whose packets come through several daemons is one trace.

Ruled out: spans of every packet (acknowledgements say nothing), and a context carried in packets (they are the two ends').

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -179,11 +179,11 @@
     fleet_log_take_glib(fleet->log, clock_boottime_us);
     fleet->catalog = catalog_new();
     fleet->peers = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    fleet->mesh_settings.name = view_address_text(options->address);
-    fleet->mesh_settings.zone = g_strdup(options->zone);
-    fleet->mesh_settings.cluster = g_strdup(CLUSTER_NAME);
-    fleet->mesh_settings.address.address = options->address;
-    fleet->mesh_settings.peer_port = options->peer_port;
+    fleet->settings.name = view_address_text(options->address);
+    fleet->settings.zone = g_strdup(options->zone);
+    fleet->settings.cluster = g_strdup(CLUSTER_NAME);
+    fleet->settings.address.address = options->address;
+    fleet->settings.peer_port = options->peer_port;
     uv_loop_init(&fleet->loop);
     uv_timer_init(&fleet->loop, &fleet->tick);
     uv_signal_init(&fleet->loop, &fleet->sigterm);
@@ -200,7 +200,7 @@
 {
     struct mesh_options mesh = {
         .loop = &fleet->loop,
-        .settings = &fleet->mesh_settings,
+        .settings = &fleet->settings,
         .incarnation = (uint64_t)(g_get_real_time() / 1000),
         .counters = &fleet->counters,
         .handlers = {on_message, on_datagram, fleet},
@@ -208,8 +208,11 @@
     bool ok = false;
 
     if (fleet->options->peer_map != NULL &&
-        !settings_take_peer_map(&fleet->mesh_settings,
-                                fleet->options->peer_map, error)) {
+        !settings_take_peer_map(&fleet->settings, fleet->options->peer_map,
+                                error)) {
+        return false;
+    }
+    if (!fleet_span_start(fleet, error)) {
         return false;
     }
     fleet->mesh = mesh_new(&mesh, error);
@@ -246,10 +249,11 @@
     }
     catalog_free(fleet->catalog);
     g_hash_table_destroy(fleet->peers);
-    g_free(fleet->mesh_settings.name);
-    g_free(fleet->mesh_settings.zone);
-    g_free(fleet->mesh_settings.cluster);
-    g_free(fleet->mesh_settings.peer_map_text);
+    g_free(fleet->settings.name);
+    g_free(fleet->settings.zone);
+    g_free(fleet->settings.cluster);
+    g_free(fleet->settings.peer_map_text);
+    fleet_span_free(fleet);
     fleet_log_free(fleet->log);
 }
 
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -18,7 +18,11 @@
 static void flush(struct fleet_entry *);
 static void drain(struct fleet *);
 static void on_drain(uv_timer_t *);
+static uint64_t flow_key(const struct affinity_packet *);
 static uint64_t copy_key(const struct affinity_packet *);
+static void trace(struct fleet *, int64_t start_us,
+                  const struct affinity_packet *,
+                  const struct affinity_verdict *);
 static void log_verdict(struct fleet *, uint64_t now_us,
                         const struct affinity_packet *,
                         const struct affinity_verdict *);
@@ -186,18 +190,53 @@
         fleet_elapsed_us(now_us, fleet->entry->current_us) / 1000);
 }
 
+/* Equal for all packets of a flow that come from its caller. */
+static uint64_t
+flow_key(const struct affinity_packet *packet)
+{
+    return hash_pair((uint64_t)packet->source << 16 | packet->source_port,
+                     (uint64_t)packet->destination << 16 |
+                         packet->destination_port);
+}
+
 /* Equal for copies of one packet. */
 static uint64_t
 copy_key(const struct affinity_packet *packet)
 {
-    uint64_t flow = hash_pair(
-        (uint64_t)packet->source << 16 | packet->source_port,
-        (uint64_t)packet->destination << 16 | packet->destination_port);
     uint64_t part =
         hash_pair((uint64_t)packet->sequence << 32 | packet->acknowledged,
                   packet->flags);
 
-    return hash_pair(flow, part);
+    return hash_pair(flow_key(packet), part);
+}
+
+/*
+ * Write the spans of PACKET, which was read at START_US of the wall clock, if
+ * its flow is sampled: of openings, requests, and what was refused.
+ */
+static void
+trace(struct fleet *fleet, int64_t start_us,
+      const struct affinity_packet *packet,
+      const struct affinity_verdict *verdict)
+{
+    uint64_t key = flow_key(packet);
+
+    if (verdict->reason == AFFINITY_COOKIE && packet->payload == 0) {
+        return;
+    }
+    fleet_span(fleet, key, SPAN_FABRIC_IN, start_us, packet->source);
+    switch (verdict->action) {
+    case AFFINITY_FORWARD:
+        fleet_span(fleet, key, SPAN_TARGET, start_us,
+                   verdict->target->address);
+        break;
+    case AFFINITY_RESET:
+        fleet_span(fleet, key, SPAN_REFUSE, start_us, packet->source);
+        break;
+    case AFFINITY_DROP:
+    case AFFINITY_ACTION__MAX:
+        break;
+    }
 }
 
 /* Decide on one packet and carry the decision out. */
@@ -210,6 +249,7 @@
     struct affinity_verdict verdict;
     struct shape_packet out = {.data = entry->encoded};
     uint64_t now_us = clock_boottime_us();
+    int64_t read_us;
 
     entry->packets_in++;
     entry->packet_us = now_us;
@@ -218,6 +258,8 @@
         entry->malformed++;
         return;
     }
+    read_us =
+        span_sampled(fleet->spans, flow_key(&packet)) ? g_get_real_time() : 0;
     affinity_core_packet(entry->affinity, now_us, fleet->catalog, &packet,
                          &verdict);
     if (verdict.reason != AFFINITY_COOKIE) {
@@ -242,4 +284,5 @@
     case AFFINITY_ACTION__MAX:
         break;
     }
+    trace(fleet, read_us, &packet, &verdict);
 }
--- a/src/fleet/fleet_private.h
+++ b/src/fleet/fleet_private.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/counter.h"
+#include "base/span.h"
 #include "fleet/fleet.h"
 #include "fleet/fleet_log.h"
 #include "peer/catalog_wire.h"
@@ -43,7 +44,7 @@
 
 struct fleet {
     const struct fleet_options *options;
-    struct settings mesh_settings;
+    struct settings settings;
     uint32_t zone;
     uv_loop_t loop;
     uv_timer_t tick;
@@ -55,6 +56,7 @@
     struct http_server *metrics; /* NULL without a port for it */
     struct counters counters;
     struct fleet_log *log;
+    struct span_writer *spans;
     struct fleet_seeds seeds;
     GHashTable *peers; /* address -> struct fleet_peer */
     struct catalog *catalog;
@@ -88,6 +90,12 @@
                        const char *body, size_t len);
 bool fleet_metrics_start(struct fleet *, GError **);
 
+/* fleet_span.c: spans of sampled flows */
+bool fleet_span_start(struct fleet *, GError **);
+void fleet_span_free(struct fleet *);
+void fleet_span(struct fleet *, uint64_t key, enum span_hop, int64_t start_us,
+                uint32_t peer);
+
 /* fleet_entry.c */
 bool fleet_entry_start(struct fleet *, GError **);
 void fleet_entry_tick(struct fleet *, uint64_t now_us);
--- a/tests/script/fleet.sh
+++ b/tests/script/fleet.sh
@@ -47,6 +47,10 @@
 
 daemon_up() { # NAME [FIRST]
     settings_write "$1" "${2:-false}"
+    if [ -n "${SPANS:-}" ]; then
+        export PARSLEYSPUR_SPAN_FILE=$RUN_DIR/$1.spans
+        export PARSLEYSPUR_SPAN_SAMPLE=1
+    fi
     PARSLEYSPUR_NODE_FILE=$RUN_DIR/$1.json start "$1" "$BIN" "${1%-*}"
 }
 
