Mend two faults of the replicated log; a stopping leader names its successor

Two voters that had been replaced while they were out of reach ran on. One of them heard a leader's entries, with the ADMIT that had given its place away, and then campaigned: others would not have counted it, but it counted itself, and the second one's vote made a majority. Change: a voter whose log admits another store for its number neither votes nor campaigns.

The same write could say that a voter whose disk had been lost may vote again without the log that this stands on. Change: term and vote go first, the right to vote and the commit last, in a hard state of their own.

Change 3: a control daemon that stops gives its lead up and names the voter with most of the log, which campaigns at once. Before, the others waited an election timeout, 0.5 to 1.2 s.

--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -5,7 +5,8 @@
 #include "base/err.h"
 #include "fleet/fleet_control_private.h"
 
-#define STOP_US 200000U /* answers under way at a planned stop */
+#define STOP_US   200000U /* answers under way at a planned stop */
+#define RESIGN_US 100000U /* of it, for the message to a successor */
 
 static void answer_confirm(struct fleet *, const struct fleet_peer *,
                            const Parsleyspur__FleetConfirm *);
@@ -125,6 +126,11 @@
     fleet_presence_tick(fleet, now_us);
     fleet_voter_replace_lost(fleet, now_us);
     fleet_voter_follow(fleet);
+    if (fleet->stopping && fleet->control->leading &&
+        (g_hash_table_size(fleet->control->requests) == 0 ||
+         now_us + RESIGN_US >= fleet->stop_us)) {
+        fleet_quorum_resign(fleet);
+    }
     if (fleet->control->quorum != NULL) {
         fleet_feed_all(fleet, now_us);
     }
--- a/src/fleet/fleet_control_private.h
+++ b/src/fleet/fleet_control_private.h
@@ -88,6 +88,7 @@
 void fleet_quorum_try_open(struct fleet *, bool may_found);
 void fleet_quorum_close(struct fleet *);
 void fleet_quorum_tick(struct fleet *, uint64_t now_us);
+void fleet_quorum_resign(struct fleet *);
 void fleet_quorum_message(struct fleet *, struct fleet_peer *,
                           const Parsleyspur__FleetQuorum *);
 void fleet_quorum_propose(struct fleet *, uint64_t request, const uint8_t *,
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -185,6 +185,17 @@
     }
 }
 
+/* Give the lead up to another voter, before a planned stop. */
+void
+fleet_quorum_resign(struct fleet *fleet)
+{
+    struct quorum_event event = {.kind = QUORUM_EV_RESIGN};
+
+    if (fleet->control->quorum != NULL) {
+        step(fleet, &event);
+    }
+}
+
 /* Propose a command; fleet_request_done() tells REQUEST's outcome. */
 void
 fleet_quorum_propose(struct fleet *fleet, uint64_t request,
--- a/src/quorum/quorum.h
+++ b/src/quorum/quorum.h
@@ -111,6 +111,7 @@
     QUORUM_MSG_APPEND_ANSWER,
     QUORUM_MSG_SNAPSHOT, /* a piece */
     QUORUM_MSG_SNAPSHOT_ANSWER,
+    QUORUM_MSG_RESIGN, /* of a leader: campaign at once */
     QUORUM_MSG__MAX
 };
 
@@ -121,7 +122,9 @@
     uint64_t term;  /* of the sender, or asked for in a vote request */
     uint64_t round; /* echoed by the answer */
     bool pre;       /* VOTE_REQUEST, VOTE: of a pre-vote */
-    bool granted;   /* VOTE, APPEND_ANSWER; HELLO_ANSWER: no term ever */
+    /* VOTE, APPEND_ANSWER; HELLO_ANSWER: no term ever; VOTE_REQUEST: the
+     * leader of the term before has resigned. */
+    bool granted;
     bool voter;     /* answers: the sender has a vote */
     uint64_t store; /* answers: the sender's store id */
     /* VOTE_REQUEST: last of the log.  APPEND: what goes before entries.
--- a/src/quorum/quorum_core.c
+++ b/src/quorum/quorum_core.c
@@ -107,6 +107,7 @@
     const struct quorum_snapshot *snapshot = stored->snapshot;
 
     core->hard = stored->hard;
+    core->written = stored->hard;
     while (core->hard.store == 0) {
         core->hard.store =
             (uint64_t)g_rand_int(core->rand) << 32 | g_rand_int(core->rand);
@@ -204,6 +205,9 @@
         quorum_on_snapshot_taken(core, event->u.snapshot.index,
                                  event->u.snapshot.data);
         break;
+    case QUORUM_EV_RESIGN:
+        quorum_resign(core);
+        break;
     case QUORUM_EV_SPACE:
         core->space_low = event->u.space_low;
         break;
@@ -280,6 +284,9 @@
     case QUORUM_MSG_SNAPSHOT_ANSWER:
         on_answer(core, peer, message);
         break;
+    case QUORUM_MSG_RESIGN:
+        quorum_on_resign(core, message);
+        break;
     case QUORUM_MSG__MAX:
         break;
     }
--- a/src/quorum/quorum_core.h
+++ b/src/quorum/quorum_core.h
@@ -26,6 +26,7 @@
     QUORUM_EV_PROPOSE,  /* a batch: one write, one message to each follower */
     QUORUM_EV_STORED,   /* tokens come back in the order of their actions */
     QUORUM_EV_SNAPSHOT, /* what QUORUM_ACT_TAKE_SNAPSHOT asked for */
+    QUORUM_EV_RESIGN,   /* the daemon is about to stop */
     QUORUM_EV_SPACE,    /* the data folder runs out of space, or no longer */
     QUORUM_EV__MAX
 };
--- a/src/quorum/quorum_election.c
+++ b/src/quorum/quorum_election.c
@@ -1,8 +1,7 @@
 /* Elections: pre-votes, votes, and who must not give one. */
 #include "quorum/quorum_state.h"
 
-static void ask(struct quorum_core *, bool pre);
-static void campaign(struct quorum_core *);
+static void ask(struct quorum_core *, bool pre, bool resigned);
 static void count_votes(struct quorum_core *);
 static bool may_grant(const struct quorum_core *,
                       const struct quorum_message *);
@@ -26,14 +25,17 @@
         return;
     }
     quorum_election_reset(core);
-    if (core->hard.voter) {
+    if (quorum_self_votes(core)) {
         start_pre_vote(core);
     }
 }
 
-/* Send a vote request for a new round; a pre-vote changes no state. */
+/*
+ * Send a vote request for a new round; a pre-vote changes no state.  RESIGNED:
+ * the leader that was heard last has given its term up.
+ */
 static void
-ask(struct quorum_core *core, bool pre)
+ask(struct quorum_core *core, bool pre, bool resigned)
 {
     struct quorum_message message =
         quorum_message_of(core, QUORUM_MSG_VOTE_REQUEST);
@@ -42,6 +44,7 @@
         (uint64_t)g_rand_int(core->rand) << 32 | g_rand_int(core->rand);
     message.round = core->round;
     message.pre = pre;
+    message.granted = resigned;
     message.term = core->hard.term + (pre ? 1 : 0);
     message.index = quorum_log_last(&core->log);
     message.index_term = quorum_log_last_term(&core->log);
@@ -59,13 +62,13 @@
     core->leader = (struct daemon_id){0};
     core->role_dirty = true;
     core->self_vote = true;
-    ask(core, true);
+    ask(core, true, false);
     count_votes(core);
 }
 
 /* Ask for votes in a new term; one's own counts once it is stored. */
-static void
-campaign(struct quorum_core *core)
+void
+quorum_campaign(struct quorum_core *core, bool resigned)
 {
     core->counters.elections++;
     core->role = QUORUM_CANDIDATE;
@@ -76,7 +79,7 @@
     core->self_vote = false;
     core->self_vote_token = core->token + 1;
     quorum_election_reset(core);
-    ask(core, false);
+    ask(core, false, resigned);
 }
 
 static void
@@ -91,7 +94,7 @@
         return;
     }
     if (core->role == QUORUM_PRE_CANDIDATE) {
-        campaign(core);
+        quorum_campaign(core, false);
     }
     else if (core->role == QUORUM_CANDIDATE && core->self_vote) {
         quorum_lead(core);
@@ -115,7 +118,7 @@
 {
     uint64_t last_term = quorum_log_last_term(&core->log);
 
-    if (!core->hard.voter) {
+    if (!quorum_self_votes(core)) {
         return false;
     }
     if (message->index_term < last_term ||
@@ -133,7 +136,8 @@
 
 /*
  * Answer a vote request.  One that comes while a leader is heard is passed
- * over, its term too: that is what a leader's lease stands on.
+ * over, its term too: that is what a leader's lease stands on.  It is not if
+ * that leader has resigned.
  */
 void
 quorum_on_vote_request(struct quorum_core *core,
@@ -141,7 +145,7 @@
 {
     struct quorum_message answer;
 
-    if (core->now_us < core->refuse_until_us) {
+    if (core->now_us < core->refuse_until_us && !message->granted) {
         return;
     }
     if (core->role == QUORUM_LEADER &&
--- a/src/quorum/quorum_join.c
+++ b/src/quorum/quorum_join.c
@@ -111,6 +111,19 @@
     return 0;
 }
 
+/*
+ * True if this voter may vote and campaign.  One that was replaced while it
+ * was out of reach may have heard since, from a leader's entries, that its
+ * place has gone to another store: its vote would count beside that one's.
+ */
+bool
+quorum_self_votes(const struct quorum_core *core)
+{
+    uint64_t store = quorum_admitted_store(core, core->options.self);
+
+    return core->hard.voter && (store == 0 || store == core->hard.store);
+}
+
 /* True if a message's sender, which says that it votes, may do so. */
 bool
 quorum_sender_votes(const struct quorum_core *core,
--- a/src/quorum/quorum_out.c
+++ b/src/quorum/quorum_out.c
@@ -5,6 +5,7 @@
 
 static void clear_action(struct quorum_action *);
 static void emit_send(struct quorum_core *, struct quorum_outgoing *);
+static void add_hard(struct quorum_record *, const struct quorum_hard *);
 static void emit_store(struct quorum_core *);
 static void queue(struct quorum_core *, struct daemon_id,
                   const struct quorum_message *, bool free);
@@ -148,37 +149,52 @@
     }
 }
 
+static void
+add_hard(struct quorum_record *record, const struct quorum_hard *hard)
+{
+    record->kind = QUORUM_RECORD_HARD;
+    record->u.hard = *hard;
+}
+
 /*
- * One store action for all records of the step, the hard state first.  What
- * it says of the commit covers only entries that are stored already: the
- * step's own may be cut off behind it.
+ * One store action for all records of the step.  They may be cut off behind
+ * any of them.  So term and vote go first, without which the entries must not
+ * be there; that this voter votes, and what is committed, go last, since both
+ * stand on the entries or the snapshot of the step.
  */
 static void
 emit_store(struct quorum_core *core)
 {
     struct quorum_storing storing;
     struct quorum_action *action;
-    uint64_t commit = MIN(core->commit, core->stored);
-    size_t count = core->records->len + (core->hard_dirty ? 1 : 0);
+    struct quorum_hard first = core->hard;
     struct quorum_record *records;
+    size_t count = 0;
+    bool early, late;
 
-    if (count == 0) {
+    if (core->records->len == 0 && !core->hard_dirty) {
         return;
     }
-    if (commit > core->hard.commit) {
-        core->hard.commit = commit;
-        count += core->hard_dirty ? 0 : 1;
-        core->hard_dirty = true;
-    }
-    records = g_new0(struct quorum_record, count);
-    if (core->hard_dirty) {
-        records[0].kind = QUORUM_RECORD_HARD;
-        records[0].u.hard = core->hard;
+    core->hard.commit =
+        MAX(core->hard.commit, MIN(core->commit, core->stored));
+    first.voter = core->written.voter;
+    first.commit = core->written.commit;
+    early = core->hard_dirty && core->records->len > 0;
+    late = core->records->len == 0 ||
+           core->hard.voter != core->written.voter ||
+           core->hard.commit != core->written.commit;
+    records = g_new0(struct quorum_record, core->records->len + 2);
+    if (early) {
+        add_hard(&records[count++], &first);
     }
     for (guint i = 0; i < core->records->len; i++) {
-        records[count - core->records->len + i] =
+        records[count++] =
             g_array_index(core->records, struct quorum_record, i);
     }
+    if (late) {
+        add_hard(&records[count++], &core->hard);
+    }
+    core->written = core->hard;
     g_array_set_size(core->records, 0);
     core->hard_dirty = false;
     storing.token = ++core->token;
--- a/src/quorum/quorum_state.h
+++ b/src/quorum/quorum_state.h
@@ -54,6 +54,7 @@
     struct quorum_counters counters;
 
     struct quorum_hard hard;
+    struct quorum_hard written; /* as last handed to the store */
     bool hard_dirty;
     struct quorum_log log;
     struct quorum_snapshot *snapshot; /* latest, or NULL */
@@ -126,6 +127,11 @@
                             const struct quorum_message *);
 void quorum_on_vote(struct quorum_core *, struct quorum_peer *,
                     const struct quorum_message *);
+void quorum_campaign(struct quorum_core *, bool resigned);
+
+/* quorum_resign.c: a leader names its successor */
+void quorum_resign(struct quorum_core *);
+void quorum_on_resign(struct quorum_core *, const struct quorum_message *);
 
 /* quorum_leader.c */
 void quorum_lead(struct quorum_core *);
@@ -162,6 +168,7 @@
 /* quorum_join.c: empty stores */
 void quorum_join_tick(struct quorum_core *);
 uint64_t quorum_admitted_store(const struct quorum_core *, struct daemon_id);
+bool quorum_self_votes(const struct quorum_core *);
 bool quorum_sender_votes(const struct quorum_core *,
                          const struct quorum_message *);
 void quorum_on_hello(struct quorum_core *, const struct quorum_message *);
--- a/tests/property/prop_quorum.cc
+++ b/tests/property/prop_quorum.cc
@@ -32,7 +32,8 @@
                                                           {1, Op::Delay},
                                                           {1, Op::Slow},
                                                           {1, Op::FailDisk},
-                                                          {2, Op::Replace}})),
+                                                          {2, Op::Replace},
+                                                          {2, Op::Resign}})),
             gen::set(&Step::a, gen::inRange(0, 5)),
             gen::set(&Step::b, gen::inRange(0, 8)),
             gen::set(&Step::wait_ms, gen::weightedOneOf<int>(
@@ -47,9 +48,9 @@
 operator<<(std::ostream &out, const Step &step)
 {
     static const char *const names[] = {
-        "Propose", "Resend",  "Crash",     "Wipe",       "Restart",
-        "Cut",     "Isolate", "IsolateIn", "IsolateOut", "Heal",
-        "Loss",    "Delay",   "Slow",      "FailDisk",   "Replace"};
+        "Propose", "Resend",    "Crash",      "Wipe",  "Restart", "Cut",
+        "Isolate", "IsolateIn", "IsolateOut", "Heal",  "Loss",    "Delay",
+        "Slow",    "FailDisk",  "Replace",    "Resign"};
 
     return out << "{" << names[static_cast<int>(step.op)] << " " << step.a
                << " " << step.b << " " << step.wait_ms << "ms}";
@@ -67,6 +68,7 @@
     total.reads += seen.reads;
     total.lease_lost += seen.lease_lost;
     total.wipes += seen.wipes;
+    total.resigned += seen.resigned;
     total.replaced += seen.replaced;
     total.unknown += seen.unknown;
     total.events += seen.events;
--- a/tests/property/quorum_world.h
+++ b/tests/property/quorum_world.h
@@ -39,6 +39,7 @@
     Slow,       /* writes of node a take b * 100 ms */
     FailDisk,   /* the next write of node a fails */
     Replace,    /* an empty node takes a's place; a itself runs on */
+    Resign,     /* node a gives its lead up, if it leads */
     OpMax
 };
 
@@ -58,6 +59,7 @@
     uint64_t reads = 0;
     uint64_t lease_lost = 0;
     uint64_t wipes = 0;
+    uint64_t resigned = 0;
     uint64_t replaced = 0;
     uint64_t unknown = 0;
     uint64_t events = 0;
--- a/tests/property/quorum_world_impl.h
+++ b/tests/property/quorum_world_impl.h
@@ -594,6 +594,16 @@
             }
         }
         break;
+    case Op::Resign:
+        if (nodes[a].core != nullptr) {
+            quorum_event event = {};
+
+            event.kind = QUORUM_EV_RESIGN;
+            seen.resigned +=
+                quorum_core_role(nodes[a].core) == QUORUM_LEADER ? 1 : 0;
+            step(a, event);
+        }
+        break;
     case Op::OpMax:
         break;
     }
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -317,6 +317,57 @@
     quorum_stored_clear(&stored);
 }
 
+/* A leader that resigns is replaced without an election timeout. */
+static void
+test_resigned_leader(void **state)
+{
+    struct cluster cluster;
+    struct quorum_event event = {.kind = QUORUM_EV_RESIGN};
+    size_t first, second;
+
+    (void)state;
+    open_cluster(&cluster, 100);
+    first = wait_for_leader(&cluster);
+    pass(&cluster, SECOND);
+    step(&cluster, first, &event);
+    assert_false(
+        quorum_core_read_ok(cluster.voters[first].core, cluster.now_us));
+    pass(&cluster, 2 * TICK_US);
+    second = leader_of(&cluster);
+    assert_in_range(second, 0, VOTERS - 1);
+    assert_int_not_equal(second, first);
+    pass(&cluster, 2 * TICK_US);
+    assert_true(
+        quorum_core_read_ok(cluster.voters[second].core, cluster.now_us));
+    close_cluster(&cluster);
+}
+
+/* One that resigned long ago does not start an election now. */
+static void
+test_late_resignation(void **state)
+{
+    struct cluster cluster;
+    struct quorum_message late = {.kind = QUORUM_MSG_RESIGN};
+    struct quorum_event event = {.kind = QUORUM_EV_MESSAGE};
+    size_t leader, other;
+    uint64_t term;
+
+    (void)state;
+    open_cluster(&cluster, 100);
+    leader = wait_for_leader(&cluster);
+    pass(&cluster, SECOND);
+    other = (leader + 1) % VOTERS;
+    term = quorum_core_term(cluster.voters[leader].core);
+    late.from.value = (leader + 2) % VOTERS + 1;
+    late.term = term - 1;
+    event.u.message = &late;
+    step(&cluster, other, &event);
+    pass(&cluster, SECOND);
+    assert_int_equal(leader_of(&cluster), leader);
+    assert_int_equal(quorum_core_term(cluster.voters[leader].core), term);
+    close_cluster(&cluster);
+}
+
 int
 main(void)
 {
@@ -330,6 +381,8 @@
         cmocka_unit_test(test_snapshot_pieces),
         cmocka_unit_test(test_committed_is_known_at_the_start),
         cmocka_unit_test(test_snapshot_at_the_start),
+        cmocka_unit_test(test_resigned_leader),
+        cmocka_unit_test(test_late_resignation),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
