--- a/tests/unit/test_affinity.c
+++ b/tests/unit/test_affinity.c
@@ -121,7 +121,7 @@
 
 /* COUNT requests, one after the other, of which each takes TOOK_US. */
 static void
-answered(struct world *world, unsigned count, uint64_t took_us)
+answered(struct world *world, uint16_t count, uint64_t took_us)
 {
     for (uint16_t caller = 1; caller <= count; caller++) {
         uint32_t cookie;
@@ -138,7 +138,7 @@
 
 /* Openings each 10 ms for a time, without any answer; how many are refused. */
 static unsigned
-refused_of(struct world *world, uint16_t first, unsigned count)
+refused_of(struct world *world, uint16_t first, uint16_t count)
 {
     unsigned refused = 0;
 
--- a/tests/unit/test_mesh.c
+++ b/tests/unit/test_mesh.c
@@ -247,7 +247,7 @@
                               (const uint8_t *)"call", 4));
         run_until(&b.messages, sent);
         assert_string_equal(b.last, "call");
-        assert_true(b.age_us < RUN_LIMIT_MS * 1000);
+        assert_true(b.age_us < UINT64_C(1000) * RUN_LIMIT_MS);
     }
     assert_true(send_text(&a, &b, "flow"));
     run_until(&b.messages, 3);
--- a/tests/unit/test_quorum.c
+++ b/tests/unit/test_quorum.c
@@ -332,11 +332,11 @@
     step(&cluster, first, &event);
     assert_false(
         quorum_core_read_ok(cluster.voters[first].core, cluster.now_us));
-    pass(&cluster, 2 * TICK_US);
+    pass(&cluster, UINT64_C(2) * TICK_US);
     second = leader_of(&cluster);
     assert_in_range(second, 0, VOTERS - 1);
     assert_int_not_equal(second, first);
-    pass(&cluster, 2 * TICK_US);
+    pass(&cluster, UINT64_C(2) * TICK_US);
     assert_true(
         quorum_core_read_ok(cluster.voters[second].core, cluster.now_us));
     close_cluster(&cluster);
