--- a/src/quorum/quorum_election.c
+++ b/src/quorum/quorum_election.c
@@ -139,8 +139,8 @@
     if (core->role == QUORUM_CANDIDATE && !core->self_vote_counts &&
         core->stored_token >= core->self_vote_token) {
         core->self_vote_counts = true;
-        reset_timer(core, core->options.election_timeout_us +
-                              core->store_time_us);
+        reset_timer(core,
+                    core->options.election_timeout_us + core->store_time_us);
         count_votes(core);
     }
 }
--- a/src/quorum/quorum_state.h
+++ b/src/quorum/quorum_state.h
@@ -105,8 +105,8 @@
     struct quorum_admitted taking_admitted[QUORUM_VOTERS_MAX];
     struct quorum_incoming_snapshot incoming;
 
-    uint64_t last_token;    /* of the latest store action */
-    uint64_t stored_token;  /* of the latest completed store action */
+    uint64_t last_token;   /* of the latest store action */
+    uint64_t stored_token; /* of the latest completed store action */
     /* That recent store actions took: a maximum that decays by half with each
      * action. */
     uint64_t store_time_us;
