Probe targets that leave packets unanswered and end the flows of dead ones

The daemon learned of it from overdue announcements after 3.5 s only, and never ended an open flow.

Hypothesis: a TCP connection that is opened and closed tells dead hosts from slow, full and lossy ones, costs no slot, and is needed on suspicion only. Ruled out before: 400 ms of silence alone (resets at living hosts behind an ingress that loses packets, docs/design/platform.md).

Change: affinity_silence, pure: a packet overdue by twice the target's mean answer raises a suspicion; rounds of probes of the target and of two references in its zone follow; a sequential test (1e-6) with the loss estimated from all other targets decides, over probes begun 200 ms after the first miss, so that a paused VM is not taken for dead. Then the flows are reset, also idle ones, and no new flow goes there from the first miss on. fleet_probe opens the connections.

--- a/src/affinity/affinity.c
+++ b/src/affinity/affinity.c
@@ -25,6 +25,8 @@
                              const struct catalog *,
                              const struct affinity_packet *,
                              struct affinity_verdict *);
+static void reject_open_flow(const struct affinity_packet *,
+                             struct affinity_verdict *, enum affinity_reason);
 
 static const struct affinity_options defaults = {
     .flows_max = 65536,
@@ -44,6 +46,7 @@
     [AFFINITY_OVERLOAD] = "overload",
     [AFFINITY_LINK_FULL] = "link-full",
     [AFFINITY_TARGET_GONE] = "target-gone",
+    [AFFINITY_TARGET_SILENT] = "target-silent",
     [AFFINITY_UNKNOWN_COOKIE] = "unknown-cookie",
     [AFFINITY_NO_COOKIE] = "no-cookie",
     [AFFINITY_NOT_SYNCED] = "not-synced",
@@ -96,6 +99,9 @@
 #undef DEFAULT
     core->zone_daemons = 1;
     g_queue_init(&core->recent_flows);
+    g_queue_init(&core->suspicions);
+    g_queue_init(&core->beliefs);
+    g_queue_init(&core->resets);
     core->rand = g_rand_new_with_seed_array(
         (const guint32 *)&own->seed, sizeof(own->seed) / sizeof(guint32));
     core->loads =
@@ -117,6 +123,8 @@
     if (core == NULL) {
         return;
     }
+    g_queue_clear_full(&core->beliefs, g_free);
+    g_queue_clear_full(&core->resets, g_free);
     g_hash_table_destroy(core->loads);
     g_hash_table_destroy(core->route_stats);
     g_hash_table_destroy(core->pools);
@@ -158,8 +166,9 @@
             affinity_load_record_unanswered(core, load, now_us);
         }
     }
+    affinity_silence_sent(core, now_us, load, true);
     if (target == NULL || target->state == CATALOG_GONE ||
-        affinity_load_is_suspect(load, now_us)) {
+        load->suspicion.silent || affinity_load_is_suspect(load, now_us)) {
         affinity_flow_remove(core, flow);
         return false;
     }
@@ -251,13 +260,26 @@
         affinity_flow_handle_packet(core, now_us, flow, packet);
     }
     if (verdict->target->state == CATALOG_GONE) {
-        set_verdict(verdict,
-                    (packet->flags & AFFINITY_RST) != 0 ? AFFINITY_DROP
-                                                        : AFFINITY_RESET,
-                    AFFINITY_TARGET_GONE);
-        return;
+        reject_open_flow(packet, verdict, AFFINITY_TARGET_GONE);
+    }
+    else if (affinity_load_get(core, verdict->target->host)
+                 ->suspicion.silent) {
+        reject_open_flow(packet, verdict, AFFINITY_TARGET_SILENT);
     }
-    set_verdict(verdict, AFFINITY_FORWARD, AFFINITY_COOKIE);
+    else {
+        set_verdict(verdict, AFFINITY_FORWARD, AFFINITY_COOKIE);
+    }
+}
+
+/* Set VERDICT to answer PACKET, whose target is gone or silent, with a reset;
+ * a packet that ends the flow itself gets none. */
+static void
+reject_open_flow(const struct affinity_packet *packet,
+                 struct affinity_verdict *verdict, enum affinity_reason reason)
+{
+    bool ended = (packet->flags & AFFINITY_RST) != 0;
+
+    set_verdict(verdict, ended ? AFFINITY_DROP : AFFINITY_RESET, reason);
 }
 
 /*
@@ -353,6 +375,10 @@
             load->cold_revision = target->revision;
             load->cold_until_us = now_us + (uint64_t)target->cold_ms * 1000;
         }
+        if (load->incarnation != target->incarnation) {
+            load->incarnation = target->incarnation;
+            affinity_silence_forget(core, load);
+        }
     }
 }
 
--- a/src/affinity/affinity.h
+++ b/src/affinity/affinity.h
@@ -55,6 +55,7 @@
     AFFINITY_OVERLOAD,       /* pool overloaded, answers would be late */
     AFFINITY_LINK_FULL,      /* this VM's link would not send it in time */
     AFFINITY_TARGET_GONE,    /* the flow's target is gone */
+    AFFINITY_TARGET_SILENT,  /* the flow's target is down or out of reach */
     AFFINITY_UNKNOWN_COOKIE, /* not in this catalog (yet) */
     AFFINITY_NO_COOKIE,      /* neither a first packet nor with a cookie */
     AFFINITY_NOT_SYNCED,     /* no catalog received yet */
@@ -81,6 +82,40 @@
     uint64_t pool_mean_answer_us;
 };
 
+enum affinity_probe_outcome {
+    AFFINITY_PROBE_CONNECTED,
+    AFFINITY_PROBE_REFUSED,
+    AFFINITY_PROBE_TIMED_OUT,
+    AFFINITY_PROBE_OUTCOME__MAX
+};
+
+/* A TCP connection to be opened to a target, and closed again at once. */
+struct affinity_probe {
+    uint64_t suspect; /* host of the target that the probe is about */
+    uint64_t host;    /* to connect to: the suspect, or a reference */
+    uint32_t round;   /* of the suspect's probes */
+    uint32_t address; /* of HOST */
+    uint16_t port;    /* of HOST */
+    uint32_t timeout_us;
+};
+
+enum affinity_belief_kind {
+    AFFINITY_BELIEF_SILENT,    /* the target is down or out of reach */
+    AFFINITY_BELIEF_ANSWERING, /* a silent target answers again */
+    AFFINITY_BELIEF__MAX
+};
+
+/* A change of what the core believes about a target, with its inputs. */
+struct affinity_belief {
+    enum affinity_belief_kind kind;
+    uint64_t host;
+    uint64_t silent_us; /* since the first packet without an answer */
+    uint32_t packets;   /* without an answer, retransmissions included */
+    uint32_t probes;    /* without an answer */
+    double loss;        /* estimated share of lost trials elsewhere */
+    uint32_t flows;     /* to be reset */
+};
+
 /* A member that is 0 takes the default in its comment, if there is one. */
 struct affinity_options {
     uint32_t zone; /* availability zone of this daemon */
@@ -101,6 +136,8 @@
     uint64_t remote;    /* new flows placed in another zone */
     uint64_t suspected; /* times a target became suspect */
     uint64_t untracked; /* new flows above flows_max */
+    uint64_t probes;    /* connections opened to targets */
+    uint64_t silent;    /* times a target became silent */
     uint64_t answer_latency[COUNTER_BUCKETS]; /* request to its answer */
 };
 
@@ -122,6 +159,16 @@
                                    const struct catalog *);
 void affinity_core_tick(struct affinity_core *, uint64_t now_us,
                         const struct catalog *);
+size_t affinity_core_due_probes(struct affinity_core *, uint64_t now_us,
+                                const struct catalog *,
+                                struct affinity_probe *, size_t max);
+void affinity_core_record_probe(struct affinity_core *, uint64_t now_us,
+                                const struct affinity_probe *,
+                                enum affinity_probe_outcome, uint64_t took_us);
+bool affinity_core_next_belief(struct affinity_core *,
+                               struct affinity_belief *);
+bool affinity_core_next_reset(struct affinity_core *,
+                              struct affinity_packet *);
 const struct affinity_counters *
 affinity_core_counters(const struct affinity_core *);
 size_t affinity_core_flow_count(const struct affinity_core *);
--- a/src/affinity/affinity_flow.c
+++ b/src/affinity/affinity_flow.c
@@ -28,6 +28,9 @@
                                 const struct affinity_flow *);
 static void record_request(struct affinity_core *, uint64_t,
                            struct affinity_flow *);
+static void record_data(struct affinity_core *, uint64_t now_us,
+                        struct affinity_flow *,
+                        const struct affinity_packet *);
 static void record_answer(struct affinity_core *, uint64_t,
                           struct affinity_flow *);
 
@@ -115,6 +118,7 @@
         affinity_load_get(core, host)->long_lived_flows++;
     }
     affinity_link_add_flow(core, flow, route);
+    affinity_silence_sent(core, now_us, affinity_load_get(core, host), false);
     begin_request(core, now_us, flow);
     return flow;
 }
@@ -219,6 +223,20 @@
     begin_request(core, now_us, flow);
 }
 
+/* Record that PACKET, which holds data, is sent to the target of FLOW. */
+static void
+record_data(struct affinity_core *core, uint64_t now_us,
+            struct affinity_flow *flow, const struct affinity_packet *packet)
+{
+    bool retransmitted = (int32_t)(packet->sequence - flow->next_sequence) < 0;
+
+    affinity_silence_sent(core, now_us, affinity_load_get(core, flow->host),
+                          retransmitted);
+    if (!retransmitted) {
+        flow->next_sequence = packet->sequence + packet->payload;
+    }
+}
+
 /* Record that the target has answered the request of FLOW, if there is one,
  * and measure its answer time. */
 static void
@@ -259,13 +277,18 @@
         flow->acknowledged = packet->acknowledged;
         load->unanswered = 0;
         load->suspect_until_us = 0;
+        flow->next_sequence = packet->sequence;
+        affinity_silence_heard(core, now_us, load);
     }
     else if ((int32_t)(packet->acknowledged - flow->acknowledged) > 0) {
         flow->acknowledged = packet->acknowledged;
+        affinity_silence_heard(core, now_us,
+                               affinity_load_get(core, flow->host));
         record_answer(core, now_us, flow);
     }
     if (packet->payload > 0) {
         affinity_link_count_data(core, flow, packet);
+        record_data(core, now_us, flow, packet);
         record_request(core, now_us, flow);
     }
 }
--- a/src/affinity/affinity_load.c
+++ b/src/affinity/affinity_load.c
@@ -67,11 +67,12 @@
 
     g_hash_table_iter_init(&iter, core->loads);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const struct affinity_load *load = value;
+        struct affinity_load *load = value;
         const struct catalog_target *target =
             catalog_find_target(catalog, load->host);
 
         if (target == NULL || target->state == CATALOG_GONE) {
+            affinity_silence_forget(core, load);
             g_hash_table_iter_remove(&iter);
         }
     }
--- a/src/affinity/affinity_place.c
+++ b/src/affinity/affinity_place.c
@@ -200,7 +200,7 @@
         }
         load = affinity_load_get(core, target->host);
         if (!search->include_unhealthy &&
-            (target->missing ||
+            (target->missing || affinity_silence_is_suspected(load) ||
              affinity_load_is_suspect(load, search->now_us))) {
             continue;
         }
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -15,6 +15,27 @@
     uint16_t destination_port;
 };
 
+/* A target of which nothing was heard since a packet was sent to it. */
+struct affinity_suspicion {
+    uint64_t since_us; /* first packet without an answer; 0 if there is none */
+    uint32_t packets;  /* retransmissions since */
+    uint64_t missed_us; /* start of the first probe without an answer, or 0 */
+    uint32_t missed;    /* probes without an answer, while a reference gave
+                         * one */
+    uint32_t evidence;  /* of these, such as a pause does not explain */
+    /* The current round: probes of the target and of its references. */
+    uint32_t round;
+    uint64_t round_us;            /* its start */
+    uint32_t suspect_probes;      /* of the target itself */
+    uint32_t pending;             /* probes without an outcome yet */
+    uint32_t references;          /* that have answered */
+    bool answered;                /* the target itself */
+    uint64_t next_round_us;       /* no round begins before */
+    bool silent;                  /* down or out of reach */
+    uint64_t recheck_interval_us; /* while silent; doubles */
+    GList link;                   /* in the core's suspicions */
+};
+
 /* Load of a target, as observed by this daemon. */
 struct affinity_load {
     uint64_t host;
@@ -29,6 +50,9 @@
     uint64_t cold_revision;  /* of the row that cold_until_us is from */
     uint64_t mean_answer_us; /* moving average from request to answer */
     uint64_t last_answer_us; /* when the average was last updated */
+    uint64_t incarnation;    /* of the target, as last seen in the catalog */
+    uint64_t heard_us;       /* last sign of life */
+    struct affinity_suspicion suspicion;
 };
 
 enum affinity_phase {
@@ -48,6 +72,7 @@
     bool retransmitted;       /* the first packet was retransmitted */
     uint32_t requests;
     uint32_t first_sequence; /* of the first packet */
+    uint32_t next_sequence;  /* after the last data sent */
     uint32_t acknowledged;
     uint64_t last_data_us; /* last packet with data of the request */
     uint64_t opened_us;
@@ -87,6 +112,15 @@
     uint64_t last_overload_us;  /* when overload was last observed */
 };
 
+/* Outcomes of trials at targets that have answered since; halved each
+ * LOSS_HALF_LIFE_US. */
+struct affinity_loss {
+    double answered;
+    double lost;
+    uint64_t halved_us;
+    uint64_t connect_us; /* moving maximum of the time to connect */
+};
+
 struct affinity_core {
     struct affinity_options options;
     GRand *rand;
@@ -98,6 +132,10 @@
     GHashTable *avoided;
     GQueue recent_flows; /* flows with a recent request, oldest first */
     struct affinity_link link;
+    struct affinity_loss loss;
+    GQueue suspicions; /* loads with a suspicion, oldest first */
+    GQueue beliefs;    /* struct affinity_belief, not yet reported */
+    GQueue resets;     /* struct affinity_packet to be answered by a reset */
     /* That share the zone's flows, including this one. */
     uint32_t zone_daemons;
     uint64_t next_sweep_us;
@@ -115,6 +153,14 @@
                                      struct affinity_load *, uint64_t now_us);
 void affinity_load_sweep(struct affinity_core *, const struct catalog *);
 
+/* affinity_silence.c: targets that are down or out of reach */
+void affinity_silence_sent(struct affinity_core *, uint64_t now_us,
+                           struct affinity_load *, bool retransmitted);
+void affinity_silence_heard(struct affinity_core *, uint64_t now_us,
+                            struct affinity_load *);
+bool affinity_silence_is_suspected(const struct affinity_load *);
+void affinity_silence_forget(struct affinity_core *, struct affinity_load *);
+
 /* affinity_flow.c: tracked flows and route statistics */
 struct affinity_flow *affinity_flow_find(struct affinity_core *,
                                          const struct affinity_packet *);
--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -58,15 +58,17 @@
     if (!fleet_packet_start(fleet, error)) {
         return false;
     }
+    fleet_probe_start(fleet);
     fleet->http = http_server_new(&http, error);
     return fleet->http != NULL;
 }
 
-/* Begin to close the packet socket. */
+/* Begin to close the packet socket and the probes. */
 void
 fleet_entry_close(struct fleet *fleet)
 {
     fleet_packet_close(fleet);
+    fleet_probe_close(fleet);
 }
 
 /* Free the entry role's state, if there is any. */
@@ -192,6 +194,7 @@
     log_connection(fleet, now_us);
     check_stop(fleet, now_us);
     affinity_core_tick(entry->affinity, now_us, fleet->catalog);
+    fleet_probe_run(fleet, now_us);
 }
 
 /*
--- a/src/fleet/fleet_entry_private.h
+++ b/src/fleet/fleet_entry_private.h
@@ -6,6 +6,8 @@
 #include "fleet/fleet_private.h"
 #include "shape/shape.h"
 
+#define FLEET_PROBES_MAX 64 /* connections to targets, open at once */
+
 struct fleet_entry {
     struct affinity_core *affinity;
     uint64_t start_id;           /* random at each start, never 0 */
@@ -34,7 +36,10 @@
     uint64_t packets_out;
     uint64_t malformed;
     uint64_t resets;
-    uint64_t send_failures; /* datagrams that the socket did not accept */
+    GQueue probes;           /* struct fleet_probe, oldest first */
+    uv_timer_t probe_timer;  /* runs while there are probes */
+    uint64_t probe_failures; /* connections that could not be begun */
+    uint64_t send_failures;  /* datagrams that the socket did not accept */
 };
 
 /* fleet_entry.c */
@@ -51,5 +56,13 @@
 bool fleet_packet_start(struct fleet *, GError **);
 void fleet_packet_close(struct fleet *);
 void fleet_packet_free(struct fleet *);
+void fleet_packet_send_reset(struct fleet *, uint64_t now_us,
+                             const struct affinity_packet *);
+void fleet_packet_send_queued(struct fleet *);
+
+/* fleet_probe.c: probes of targets that are suspected to be down */
+void fleet_probe_start(struct fleet *);
+void fleet_probe_close(struct fleet *);
+void fleet_probe_run(struct fleet *, uint64_t now_us);
 
 #endif
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -19,7 +19,6 @@
                       const struct sockaddr *, unsigned);
 static void process_packet(struct fleet *, const uint8_t *, size_t);
 static void flush_batch(struct fleet_entry *);
-static void send_queued(struct fleet *);
 static void on_send_timer(uv_timer_t *);
 static uint64_t flow_key(const struct affinity_packet *);
 static uint64_t copy_key(const struct affinity_packet *);
@@ -117,7 +116,7 @@
         process_packet(fleet, (const uint8_t *)buffer->base, (size_t)len);
     }
     if ((flags & UV_UDP_MMSG_CHUNK) == 0) {
-        send_queued(fleet);
+        fleet_packet_send_queued(fleet);
     }
 }
 
@@ -134,8 +133,8 @@
 }
 
 /* Send the queued packets that may leave now; the timer sends the rest. */
-static void
-send_queued(struct fleet *fleet)
+void
+fleet_packet_send_queued(struct fleet *fleet)
 {
     struct fleet_entry *entry = fleet->entry;
     uint64_t now_us = clock_boottime_us();
@@ -170,7 +169,7 @@
 static void
 on_send_timer(uv_timer_t *timer)
 {
-    send_queued(timer->data);
+    fleet_packet_send_queued(timer->data);
 }
 
 /*
@@ -267,6 +266,26 @@
     }
 }
 
+/* Queue a reset that answers PACKET to its caller. */
+void
+fleet_packet_send_reset(struct fleet *fleet, uint64_t now_us,
+                        const struct affinity_packet *packet)
+{
+    struct fleet_entry *entry = fleet->entry;
+    struct shape_packet out = {
+        .data = entry->encoded,
+        .flow = flow_key(packet),
+        .key = copy_key(packet),
+        .class = SHAPE_INTERACTIVE,
+        .address = packet->source,
+        .port = fleet->options->caller_port,
+    };
+
+    entry->resets++;
+    out.len = fleet->options->edge.encode_reset(packet, entry->encoded);
+    shape_enqueue(entry->shape, now_us, &out);
+}
+
 /* Decide on one packet and carry out the decision. */
 static void
 process_packet(struct fleet *fleet, const uint8_t *data, size_t len)
@@ -310,11 +329,7 @@
         shape_enqueue(entry->shape, now_us, &out);
         break;
     case AFFINITY_RESET:
-        entry->resets++;
-        out.address = packet.source;
-        out.port = fleet->options->caller_port;
-        out.len = edge->encode_reset(&packet, entry->encoded);
-        shape_enqueue(entry->shape, now_us, &out);
+        fleet_packet_send_reset(fleet, now_us, &packet);
         break;
     case AFFINITY_DROP:
     case AFFINITY_ACTION__MAX:
