Hold packets that come to an entry daemon before its catalog

Hypothesis: what is held until the catalog is there is served that much earlier. Change: fleet_hold, no I/O: up to 1 MB; copies once; openings for 150 ms only, since their next copy, 200 ms after the first, may go to a daemon that places it elsewhere.

--- a/src/fleet/fleet_entry.c
+++ b/src/fleet/fleet_entry.c
@@ -169,6 +169,7 @@
         return;
     }
     entry->synced = true;
+    fleet_packet_resume_held(fleet);
     fleet_log_line(fleet->log, FLEET_LOG_STATE, now_us, "ready",
                    "\"revision\":%" G_GUINT64_FORMAT
                    ",\"version\":%" G_GUINT64_FORMAT ",\"current\":%s",
@@ -225,6 +226,7 @@
                        from, before, catalog_revision(fleet->catalog),
                        catalog_version(fleet->catalog), update->len);
         g_free(from);
+        fleet_packet_resume_held(fleet);
     }
     fleet_source_confirm(fleet);
 }
--- a/src/fleet/fleet_entry_private.h
+++ b/src/fleet/fleet_entry_private.h
@@ -3,6 +3,7 @@
 #define PS_FLEET_FLEET_ENTRY_PRIVATE_H
 
 #include "daemon/packet_batch.h"
+#include "fleet/fleet_hold.h"
 #include "fleet/fleet_private.h"
 #include "shape/shape.h"
 
@@ -28,6 +29,7 @@
     struct packet_batch batch;
     uint8_t output[PACKET_BATCH_MAX][FLEET_PACKET_MAX];
     uint8_t encoded[FLEET_PACKET_MAX];
+    struct fleet_hold *hold;  /* packets that came before the catalog */
     struct shape *shape;      /* packets queued for the link */
     uv_timer_t send_timer;    /* runs while packets are queued */
     uint64_t last_packet_us;  /* when the last packet was received */
@@ -59,6 +61,7 @@
 void fleet_packet_send_reset(struct fleet *, uint64_t now_us,
                              const struct affinity_packet *);
 void fleet_packet_send_queued(struct fleet *);
+void fleet_packet_resume_held(struct fleet *);
 
 /* fleet_probe.c: probes of targets that are suspected to be down */
 void fleet_probe_start(struct fleet *);
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -13,6 +13,8 @@
 #define SOCKET_BUFFER_BYTES 1048576
 /* Share of the link's rate for packets; the rest is for control traffic. */
 #define LINK_RATE_SHARE 0.95
+/* Of packets held until the catalog is there. */
+#define HOLD_BYTES_MAX 1048576
 
 static void alloc_input(uv_handle_t *, size_t, uv_buf_t *);
 static void on_packet(uv_udp_t *, ssize_t, const uv_buf_t *,
@@ -25,6 +27,11 @@
 static void write_spans(struct fleet *, int64_t start_us,
                         const struct affinity_packet *,
                         const struct affinity_verdict *);
+static bool awaits_catalog(const struct fleet_entry *,
+                           const struct affinity_verdict *);
+static void hold_packet(struct fleet_entry *, uint64_t now_us,
+                        const struct affinity_packet *, const uint8_t *,
+                        size_t);
 static void log_verdict(struct fleet *, uint64_t now_us,
                         const struct affinity_packet *,
                         const struct affinity_verdict *);
@@ -62,6 +69,7 @@
     int failed;
 
     entry->shape = shape_new(&shape);
+    entry->hold = fleet_hold_new(HOLD_BYTES_MAX);
     uv_timer_init(&fleet->loop, &entry->send_timer);
     entry->send_timer.data = fleet;
     packet_batch_init(&entry->batch);
@@ -99,6 +107,7 @@
 fleet_packet_free(struct fleet *fleet)
 {
     shape_free(fleet->entry->shape);
+    fleet_hold_free(fleet->entry->hold);
     g_free(fleet->entry->input);
 }
 
@@ -286,6 +295,63 @@
     shape_enqueue(entry->shape, now_us, &out);
 }
 
+/* Return true if the packet of VERDICT was dropped because this daemon has no
+ * catalog yet, or an older one than callers have seen. */
+static bool
+awaits_catalog(const struct fleet_entry *entry,
+               const struct affinity_verdict *verdict)
+{
+    return !entry->synced && (verdict->reason == AFFINITY_NOT_SYNCED ||
+                              verdict->reason == AFFINITY_UNKNOWN_COOKIE);
+}
+
+/* Keep PACKET, which was read as the LEN bytes at DATA, until the catalog is
+ * there. */
+static void
+hold_packet(struct fleet_entry *entry, uint64_t now_us,
+            const struct affinity_packet *packet, const uint8_t *data,
+            size_t len)
+{
+    const struct fleet_hold_packet held = {
+        .key = copy_key(packet),
+        .opens = (packet->flags & AFFINITY_SYN) != 0,
+        .data = data,
+        .len = len,
+    };
+
+    fleet_hold_add(entry->hold, now_us, &held);
+}
+
+/* Decide on the packets that were held, now that there is a newer catalog. */
+void
+fleet_packet_resume_held(struct fleet *fleet)
+{
+    struct fleet_entry *entry = fleet->entry;
+    size_t count = fleet_hold_count(entry->hold);
+    uint64_t now_us = clock_boottime_us();
+    uint8_t data[FLEET_PACKET_MAX];
+    size_t len;
+
+    if (count == 0) {
+        return;
+    }
+    while (count-- > 0 && (len = fleet_hold_take(entry->hold, now_us, data,
+                                                 sizeof(data))) > 0) {
+        process_packet(fleet, data, len);
+    }
+    fleet_packet_send_queued(fleet);
+    fleet_log_line(
+        fleet->log, FLEET_LOG_STATE, now_us, "held-resumed",
+        "\"held\":%" G_GUINT64_FORMAT ",\"copies\":%" G_GUINT64_FORMAT
+        ",\"full\":%" G_GUINT64_FORMAT ",\"expired\":%" G_GUINT64_FORMAT
+        ",\"left\":%zu,\"revision\":%" G_GUINT64_FORMAT,
+        fleet_hold_counters(entry->hold)->held,
+        fleet_hold_counters(entry->hold)->copies,
+        fleet_hold_counters(entry->hold)->full,
+        fleet_hold_counters(entry->hold)->expired,
+        fleet_hold_count(entry->hold), catalog_revision(fleet->catalog));
+}
+
 /* Decide on one packet and carry out the decision. */
 static void
 process_packet(struct fleet *fleet, const uint8_t *data, size_t len)
@@ -332,6 +398,10 @@
         fleet_packet_send_reset(fleet, now_us, &packet);
         break;
     case AFFINITY_DROP:
+        if (awaits_catalog(entry, &verdict)) {
+            hold_packet(entry, now_us, &packet, data, len);
+        }
+        break;
     case AFFINITY_ACTION__MAX:
         break;
     }
