Send an entry daemon without a catalog one at once

Cause: control daemons send updates at their tick of 50 ms; after a loss of all power four entry daemons got the catalog in the same ms, 0.06 s after the control daemon began to listen. Change: the first heartbeat of an entry daemon that holds nothing is answered with the catalog itself.

--- a/src/fleet/fleet_control_private.h
+++ b/src/fleet/fleet_control_private.h
@@ -144,5 +144,6 @@
 
 /* fleet_push.c: pushes catalog updates to other daemons */
 void fleet_push_all(struct fleet *, uint64_t now_us);
+void fleet_push_if_due(struct fleet *, struct fleet_peer *, uint64_t now_us);
 
 #endif
--- a/src/fleet/fleet_heartbeat.c
+++ b/src/fleet/fleet_heartbeat.c
@@ -251,7 +251,8 @@
 /*
  * Handle a heartbeat from PEER: record its state, learn the voters from a
  * control daemon, and answer an entry daemon unless it only confirms an
- * update.
+ * update.  An entry daemon without a catalog gets one at once, since it serves
+ * no caller before.
  */
 void
 fleet_heartbeat_receive(struct fleet *fleet, struct fleet_peer *peer,
@@ -264,4 +265,8 @@
     else if (!heartbeat->confirms) {
         send_heartbeat(fleet, peer->address, true);
     }
+    if (!heartbeat->control && heartbeat->revision == 0 &&
+        fleet->control->quorum != NULL) {
+        fleet_push_if_due(fleet, peer, clock_boottime_us());
+    }
 }
--- a/src/fleet/fleet_push.c
+++ b/src/fleet/fleet_push.c
@@ -67,31 +67,35 @@
     fleet_push_progress_record_sent(&peer->push, now_us, bytes->len);
 }
 
-/*
- * Send an update to each daemon that lacks something, if it is due from this
- * one.
- */
+/* Send PEER an update if it lacks something and one is due from this daemon. */
+void
+fleet_push_if_due(struct fleet *fleet, struct fleet_peer *peer,
+                  uint64_t now_us)
+{
+    if (!is_receiver(peer, now_us)) {
+        peer->push.behind_since_us = 0;
+        return;
+    }
+    fleet_push_progress_update_behind_since(
+        &peer->push, now_us, catalog_changed_revision(fleet->catalog),
+        &fleet->control->revision_times);
+    if (fleet_push_progress_is_due(&peer->push, now_us, 0)) {
+        push_to_peer(fleet, peer, now_us);
+    }
+}
+
+/* Send an update to each daemon that lacks something, if it is due from this
+ * one. */
 void
 fleet_push_all(struct fleet *fleet, uint64_t now_us)
 {
-    struct fleet_revision_times *times = &fleet->control->revision_times;
-    uint64_t changed = catalog_changed_revision(fleet->catalog);
     GHashTableIter iter;
     gpointer key, value;
 
-    fleet_revision_times_add(times, now_us, changed);
+    fleet_revision_times_add(&fleet->control->revision_times, now_us,
+                             catalog_changed_revision(fleet->catalog));
     g_hash_table_iter_init(&iter, fleet->peers);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        struct fleet_peer *peer = value;
-
-        if (!is_receiver(peer, now_us)) {
-            peer->push.behind_since_us = 0;
-            continue;
-        }
-        fleet_push_progress_update_behind_since(&peer->push, now_us, changed,
-                                                times);
-        if (fleet_push_progress_is_due(&peer->push, now_us, 0)) {
-            push_to_peer(fleet, peer, now_us);
-        }
+        fleet_push_if_due(fleet, value, now_us);
     }
 }
