Hold later copies of an opening for longer than the first

The next copy comes 200, 400 ms after the one before, so a later copy may be held longer without meeting another.

--- a/src/affinity/affinity.h
+++ b/src/affinity/affinity.h
@@ -36,6 +36,8 @@
     uint32_t sequence;
     uint32_t acknowledged;
     uint16_t payload; /* bytes of data */
+    /* Of the first packet of a flow: how often it was sent before. */
+    uint32_t retransmissions;
 };
 
 enum affinity_action {
--- a/src/fleet/fleet_hold.c
+++ b/src/fleet/fleet_hold.c
@@ -7,10 +7,11 @@
 
 /*
  * The first packet of a flow is held for less time than its caller waits before
- * it sends a copy: the copy may go to another daemon, which would open the flow
- * at another target.
+ * it sends a copy, 200 ms and then twice as long each time: the copy may go to
+ * another daemon, which would open the flow at another target.
  */
-#define OPENING_AGE_MAX_US 150000U
+#define OPENING_AGE_MAX_US  150000U
+#define OPENING_DOUBLED_MAX 2
 /* A packet of an open flow can only go to the flow's target, so it is held for
  * as long as its caller may still wait. */
 #define OPEN_AGE_MAX_US 1500000U
@@ -31,6 +32,7 @@
 };
 
 static void free_held(gpointer);
+static uint64_t longest_age_us(const struct fleet_hold_packet *);
 
 /* Free PACKET, a struct held. */
 static void
@@ -67,6 +69,16 @@
     g_free(hold);
 }
 
+/* Return the time for which PACKET may be held. */
+static uint64_t
+longest_age_us(const struct fleet_hold_packet *packet)
+{
+    uint32_t doubled = MIN(packet->retransmissions, OPENING_DOUBLED_MAX);
+
+    return packet->opens ? (uint64_t)OPENING_AGE_MAX_US << doubled
+                         : OPEN_AGE_MAX_US;
+}
+
 /* Hold a copy of PACKET.  Return false if there is no space.  A copy of a
  * packet that is held already is left out. */
 bool
@@ -74,7 +86,7 @@
                const struct fleet_hold_packet *packet)
 {
     struct held *held = g_hash_table_lookup(hold->keys, &packet->key);
-    uint64_t age_max_us = packet->opens ? OPENING_AGE_MAX_US : OPEN_AGE_MAX_US;
+    uint64_t age_max_us = longest_age_us(packet);
 
     if (held != NULL) {
         hold->counters.copies++;
--- a/src/fleet/fleet_hold.h
+++ b/src/fleet/fleet_hold.h
@@ -17,8 +17,9 @@
 struct fleet_hold;
 
 struct fleet_hold_packet {
-    uint64_t key; /* equal for copies of one packet */
-    bool opens;   /* the first packet of a flow */
+    uint64_t key;             /* equal for copies of one packet */
+    bool opens;               /* the first packet of a flow */
+    uint32_t retransmissions; /* of a first packet: how often sent before */
     const uint8_t *data;
     size_t len;
 };
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -315,6 +315,7 @@
     const struct fleet_hold_packet held = {
         .key = copy_key(packet),
         .opens = (packet->flags & AFFINITY_SYN) != 0,
+        .retransmissions = packet->retransmissions,
         .data = data,
         .len = len,
     };
