Count only rounds that no pause explains, and signs of life that are new

Change: rounds at an even pace, 3 probes of the target and 3 references; the rounds that a pause of 200 ms explains at best are left out; the loss of probes is estimated apart, the worse estimate counts; an acknowledgement counts as a sign of life only if the flow's packet before came after the suspicion began. A probe without an answer keeps new flows away at once, also when no reference answers; such targets are probed ever less often.

--- a/src/affinity/affinity_flow.c
+++ b/src/affinity/affinity_flow.c
@@ -262,6 +262,8 @@
                             struct affinity_flow *flow,
                             const struct affinity_packet *packet)
 {
+    uint64_t previous_us = flow->seen_us;
+
     flow->seen_us = now_us;
     if ((packet->flags & (AFFINITY_FIN | AFFINITY_RST)) != 0) {
         record_answer(core, now_us, flow);
@@ -278,12 +280,12 @@
         load->unanswered = 0;
         load->suspect_until_us = 0;
         flow->next_sequence = packet->sequence;
-        affinity_silence_heard(core, now_us, load);
+        affinity_silence_heard(core, now_us, load, previous_us);
     }
     else if ((int32_t)(packet->acknowledged - flow->acknowledged) > 0) {
         flow->acknowledged = packet->acknowledged;
-        affinity_silence_heard(core, now_us,
-                               affinity_load_get(core, flow->host));
+        affinity_silence_heard(
+            core, now_us, affinity_load_get(core, flow->host), previous_us);
         record_answer(core, now_us, flow);
     }
     if (packet->payload > 0) {
--- a/src/affinity/affinity_silence.c
+++ b/src/affinity/affinity_silence.c
@@ -17,10 +17,11 @@
  * that a living one left that many probes unanswered in a row is below
  * FALSE_ALARM.  The probability of a single loss is estimated from all other
  * targets, so that a daemon whose network loses packets needs more evidence.
- * Only probes that begin PAUSE_MAX_US after the first one without an answer
- * count, so that a VM which stands still for less is never taken for dead.
+ * A VM may also stand still for PAUSE_MAX_US at any moment, so the rounds that
+ * a single pause explains do not count.
  */
 #include <math.h>
+#include <string.h>
 
 #include "affinity/affinity_state.h"
 
@@ -40,21 +41,25 @@
 #define PROBE_TIMEOUT_MIN_US 30000U
 #define PROBE_TIMEOUT_MAX_US 200000U
 
-/* Probes of a round, once the first one was not answered, and of references. */
-#define SUSPECT_PROBES 2
-#define REFERENCES     2
+/* Probes of a round: of the target, and of references. */
+#define SUSPECT_PROBES 3
+#define REFERENCES     3
 /* A target that has answered within this time may be a reference. */
 #define REFERENCE_AGE_MAX_US 1000000U
 
 /* Between the probes of a target that answers them but not its callers. */
 #define ANSWERED_PAUSE_US 500000U
-/* Between the probes of a silent target, at first and at most. */
-#define RECHECK_MIN_US 1000000U
-#define RECHECK_MAX_US 8000000U
+/* Between the probes of a silent target, or of one whose references do not
+ * answer either, at first and at most. */
+#define RECHECK_MIN_US 100000U
+#define RECHECK_MAX_US 4000000U
 
 #define LOSS_HALF_LIFE_US 1000000U
+#define LOSS_FORGOTTEN_US 30000000U
 
+static void halve(struct affinity_trials *);
 static void decay_loss(struct affinity_core *, uint64_t now_us);
+static double share_lost(const struct affinity_trials *);
 static double loss_share(const struct affinity_core *);
 static void record_life(struct affinity_core *, uint64_t now_us,
                         struct affinity_load *);
@@ -75,7 +80,9 @@
 static bool round_is_due(const struct affinity_load *, uint64_t now_us);
 static void end_round(struct affinity_core *, uint64_t now_us,
                       struct affinity_load *);
+static void back_off(struct affinity_suspicion *, uint64_t now_us);
 static void count_missed(struct affinity_suspicion *);
+static uint32_t unexplained_rounds(const struct affinity_suspicion *);
 static bool is_proved_silent(const struct affinity_core *,
                              const struct affinity_load *);
 static void declare_silent(struct affinity_core *, uint64_t now_us,
@@ -85,27 +92,46 @@
                    const struct affinity_load *, enum affinity_belief_kind,
                    uint32_t flows);
 
+/* Halve the counts of TRIALS. */
+static void
+halve(struct affinity_trials *trials)
+{
+    trials->answered /= 2;
+    trials->lost /= 2;
+}
+
 /* Halve the counts of trials for each half-life that has passed. */
 static void
 decay_loss(struct affinity_core *core, uint64_t now_us)
 {
     struct affinity_loss *loss = &core->loss;
 
-    while (now_us >= loss->halved_us + LOSS_HALF_LIFE_US) {
-        loss->answered /= 2;
-        loss->lost /= 2;
+    if (now_us - loss->halved_us > LOSS_FORGOTTEN_US) {
+        *loss = (struct affinity_loss){.halved_us = now_us};
+    }
+    while (now_us - loss->halved_us >= LOSS_HALF_LIFE_US) {
+        halve(&loss->packets);
+        halve(&loss->probes);
         loss->connect_us /= 2;
-        loss->halved_us = loss->lost + loss->answered < 0.01
-                              ? now_us
-                              : loss->halved_us + LOSS_HALF_LIFE_US;
+        loss->halved_us += LOSS_HALF_LIFE_US;
     }
 }
 
-/* Return the estimated probability that a trial at a living target is lost. */
+/* Return the estimated probability that one of TRIALS is lost, by the rule of
+ * succession. */
+static double
+share_lost(const struct affinity_trials *trials)
+{
+    return (trials->lost + 1) / (trials->answered + trials->lost + 2);
+}
+
+/* Return the estimated probability that a probe of a living target is lost.
+ * Packets are lost in other ways than probes, so the worse estimate counts. */
 static double
 loss_share(const struct affinity_core *core)
 {
-    return (core->loss.lost + 1) / (core->loss.answered + core->loss.lost + 2);
+    return MAX(share_lost(&core->loss.packets),
+               share_lost(&core->loss.probes));
 }
 
 /* Return the time after which an answer of the target is overdue. */
@@ -131,7 +157,7 @@
 bool
 affinity_silence_is_suspected(const struct affinity_load *load)
 {
-    return load->suspicion.silent || load->suspicion.missed_us != 0;
+    return load->suspicion.suspected;
 }
 
 /* Record that a packet which must be answered is sent to the target.  With
@@ -150,15 +176,22 @@
     suspicion->packets += retransmitted ? 1 : 0;
 }
 
-/* Record that the target has answered a packet: what it left unanswered before
- * was lost. */
+/*
+ * Record that a caller acknowledges an answer of the target, whose flow's
+ * packet before came at PREVIOUS_US.  What the target left unanswered before
+ * was lost.  An answer to a packet from before the suspicion says nothing of
+ * the time since: the caller's first acknowledgement may have been lost.
+ */
 void
 affinity_silence_heard(struct affinity_core *core, uint64_t now_us,
-                       struct affinity_load *load)
+                       struct affinity_load *load, uint64_t previous_us)
 {
+    if (previous_us < load->suspicion.since_us) {
+        return;
+    }
     decay_loss(core, now_us);
-    core->loss.answered++;
-    core->loss.lost += load->suspicion.packets;
+    core->loss.packets.answered++;
+    core->loss.packets.lost += load->suspicion.packets;
     record_life(core, now_us, load);
 }
 
@@ -167,7 +200,7 @@
 record_life(struct affinity_core *core, uint64_t now_us,
             struct affinity_load *load)
 {
-    core->loss.lost += load->suspicion.missed;
+    core->loss.probes.lost += load->suspicion.missed;
     load->heard_us = now_us;
     if (load->suspicion.silent) {
         report(core, now_us, load, AFFINITY_BELIEF_ANSWERING, 0);
@@ -270,8 +303,7 @@
     suspicion->pending = 0;
     suspicion->references = 0;
     suspicion->answered = false;
-    suspicion->suspect_probes =
-        suspicion->missed_us == 0 || suspicion->silent ? 1 : SUSPECT_PROBES;
+    suspicion->suspect_probes = suspicion->silent ? 1 : SUSPECT_PROBES;
     while (count < suspicion->suspect_probes) {
         add_probe(core, target, load, &probes[count++]);
     }
@@ -337,8 +369,8 @@
         core->loss.connect_us = MAX(core->loss.connect_us, took_us);
     }
     if (probe->host != probe->suspect) {
-        core->loss.answered += connected ? 1 : 0;
-        core->loss.lost += connected ? 0 : 1;
+        core->loss.probes.answered += connected ? 1 : 0;
+        core->loss.probes.lost += connected ? 0 : 1;
     }
     if (load == NULL || load->suspicion.round != probe->round ||
         load->suspicion.pending == 0) {
@@ -368,32 +400,61 @@
         suspicion->next_round_us = now_us + ANSWERED_PAUSE_US;
         return;
     }
-    if (suspicion->silent) {
-        suspicion->next_round_us = now_us + suspicion->recheck_interval_us;
-        suspicion->recheck_interval_us =
-            MIN(2 * suspicion->recheck_interval_us, RECHECK_MAX_US);
+    suspicion->suspected = true;
+    if (suspicion->silent || suspicion->references == 0) {
+        back_off(suspicion, now_us);
         return;
     }
-    if (suspicion->references > 0) {
-        count_missed(suspicion);
-    }
+    suspicion->recheck_interval_us = 0;
+    count_missed(suspicion);
     if (is_proved_silent(core, load)) {
         declare_silent(core, now_us, load);
     }
 }
 
-/* Count the probes of a round that the target did not answer, although a
- * reference did. */
+/*
+ * Wait longer each time before the target is probed again, while no reference
+ * answers either or the target is known to be silent.  It may stand still for
+ * the first time when it is probed again, so the evidence begins anew.
+ */
+static void
+back_off(struct affinity_suspicion *suspicion, uint64_t now_us)
+{
+    suspicion->recheck_interval_us = CLAMP(2 * suspicion->recheck_interval_us,
+                                           RECHECK_MIN_US, RECHECK_MAX_US);
+    suspicion->next_round_us = now_us + suspicion->recheck_interval_us;
+    suspicion->rounds = 0;
+}
+
+/* Count a round without an answer of the target, although a reference gave
+ * one. */
 static void
 count_missed(struct affinity_suspicion *suspicion)
 {
-    if (suspicion->missed_us == 0) {
-        suspicion->missed_us = suspicion->round_us;
-    }
     suspicion->missed += suspicion->suspect_probes;
-    if (suspicion->round_us - suspicion->missed_us >= PAUSE_MAX_US) {
-        suspicion->evidence += suspicion->suspect_probes;
+    if (suspicion->rounds == AFFINITY_ROUNDS_MAX) {
+        suspicion->rounds--;
+        memmove(&suspicion->rounds_us[0], &suspicion->rounds_us[1],
+                suspicion->rounds * sizeof(suspicion->rounds_us[0]));
+    }
+    suspicion->rounds_us[suspicion->rounds++] = suspicion->round_us;
+}
+
+/* Return the number of rounds without an answer that remain if the target
+ * stood still for PAUSE_MAX_US when that explains most of them. */
+static uint32_t
+unexplained_rounds(const struct affinity_suspicion *suspicion)
+{
+    uint32_t first = 0, longest = 0;
+
+    for (uint32_t last = 0; last < suspicion->rounds; last++) {
+        while (suspicion->rounds_us[last] - suspicion->rounds_us[first] >
+               PAUSE_MAX_US) {
+            first++;
+        }
+        longest = MAX(longest, last - first + 1);
     }
+    return suspicion->rounds - longest;
 }
 
 /* Return true if a living target leaves that many probes unanswered only with
@@ -402,8 +463,9 @@
 is_proved_silent(const struct affinity_core *core,
                  const struct affinity_load *load)
 {
-    return load->suspicion.evidence * log(loss_share(core)) <=
-           log(FALSE_ALARM);
+    uint32_t probes = unexplained_rounds(&load->suspicion) * SUSPECT_PROBES;
+
+    return probes * log(loss_share(core)) <= log(FALSE_ALARM);
 }
 
 /* Take the target for dead: its flows are reset, and it is probed from time to
@@ -415,8 +477,7 @@
     struct affinity_suspicion *suspicion = &load->suspicion;
 
     suspicion->silent = true;
-    suspicion->recheck_interval_us = RECHECK_MIN_US;
-    suspicion->next_round_us = now_us + RECHECK_MIN_US;
+    back_off(suspicion, now_us);
     core->counters.silent++;
     report(core, now_us, load, AFFINITY_BELIEF_SILENT,
            queue_resets(core, load->host));
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -15,14 +15,18 @@
     uint16_t destination_port;
 };
 
+#define AFFINITY_ROUNDS_MAX 32 /* of probes without an answer */
+
 /* A target of which nothing was heard since a packet was sent to it. */
 struct affinity_suspicion {
     uint64_t since_us; /* first packet without an answer; 0 if there is none */
     uint32_t packets;  /* retransmissions since */
-    uint64_t missed_us; /* start of the first probe without an answer, or 0 */
-    uint32_t missed;    /* probes without an answer, while a reference gave
-                         * one */
-    uint32_t evidence;  /* of these, such as a pause does not explain */
+    bool suspected;    /* did not answer a probe */
+    /* Probes without an answer, while a reference gave one. */
+    uint32_t missed;
+    /* When such rounds began, the latest in succession. */
+    uint64_t rounds_us[AFFINITY_ROUNDS_MAX];
+    uint32_t rounds;
     /* The current round: probes of the target and of its references. */
     uint32_t round;
     uint64_t round_us;            /* its start */
@@ -32,7 +36,7 @@
     bool answered;                /* the target itself */
     uint64_t next_round_us;       /* no round begins before */
     bool silent;                  /* down or out of reach */
-    uint64_t recheck_interval_us; /* while silent; doubles */
+    uint64_t recheck_interval_us; /* doubles; 0 while rounds count */
     GList link;                   /* in the core's suspicions */
 };
 
@@ -112,11 +116,18 @@
     uint64_t last_overload_us;  /* when overload was last observed */
 };
 
-/* Outcomes of trials at targets that have answered since; halved each
- * LOSS_HALF_LIFE_US. */
-struct affinity_loss {
+/* Trials at living targets: packets or probes that are answered unless they
+ * are lost. */
+struct affinity_trials {
     double answered;
     double lost;
+};
+
+/* What this daemon's network loses, as seen lately; all halved each
+ * LOSS_HALF_LIFE_US. */
+struct affinity_loss {
+    struct affinity_trials packets;
+    struct affinity_trials probes;
     uint64_t halved_us;
     uint64_t connect_us; /* moving maximum of the time to connect */
 };
@@ -157,7 +168,7 @@
 void affinity_silence_sent(struct affinity_core *, uint64_t now_us,
                            struct affinity_load *, bool retransmitted);
 void affinity_silence_heard(struct affinity_core *, uint64_t now_us,
-                            struct affinity_load *);
+                            struct affinity_load *, uint64_t previous_us);
 bool affinity_silence_is_suspected(const struct affinity_load *);
 void affinity_silence_forget(struct affinity_core *, struct affinity_load *);
 
--- a/tests/unit/test_affinity_silence.c
+++ b/tests/unit/test_affinity_silence.c
@@ -30,6 +30,7 @@
 static void test_new_flows_avoid_dead_target(void **);
 static void test_unknown_flow_of_dead_target(void **);
 static void test_slow_target_keeps_flows(void **);
+static void test_late_acknowledgement(void **);
 static void test_zone_out_of_reach(void **);
 static void test_silent_target_answers_again(void **);
 static void test_target_starts_again(void **);
@@ -172,6 +173,30 @@
     free_fixture(&silence.fixture);
 }
 
+/* The acknowledgement of an answer from before, on a flow that was idle since,
+ * is no sign of life: the first one may have been lost. */
+static void
+test_late_acknowledgement(void **state)
+{
+    struct silence silence = open_flows();
+    uint16_t other = 2;
+
+    (void)state;
+    while (silence.hosts[other] != silence.hosts[1]) {
+        other++;
+    }
+    silence.dead = 1U << silence.hosts[1];
+    pass_time(&silence, 160000);
+    send_packet(&silence.fixture, other, AFFINITY_ACK, silence.cookies[1], 3,
+                10);
+    pass_time(&silence, SILENT_US);
+    assert_int_equal(silence.silent, silence.dead);
+    send_packet(&silence.fixture, 200, AFFINITY_SYN, 0, 0, 0);
+    assert_int_not_equal(silence.fixture.verdict.target->host,
+                         silence.hosts[1]);
+    free_fixture(&silence.fixture);
+}
+
 /* If no target answers, the network is the likely reason: all flows stay. */
 static void
 test_zone_out_of_reach(void **state)
@@ -228,6 +253,7 @@
         cmocka_unit_test(test_new_flows_avoid_dead_target),
         cmocka_unit_test(test_unknown_flow_of_dead_target),
         cmocka_unit_test(test_slow_target_keeps_flows),
+        cmocka_unit_test(test_late_acknowledgement),
         cmocka_unit_test(test_zone_out_of_reach),
         cmocka_unit_test(test_silent_target_answers_again),
         cmocka_unit_test(test_target_starts_again),
