Tell slow targets by the pool's median, and leave them out of its load

And 79 openings were refused as overload while the chosen target had no request in progress (candidates 14, answer_ms 94, crowding 2.4 to 3.9): what waits at the slow targets was counted against all.

Change: slow is above 1.6 times the median; the mean and the requests in progress by which openings are refused leave slow targets out. A pool that is slow as a whole has no slow targets. Ruled out: resets of old flows at slow targets; these hosts live.

Left: flows that were open before stay at the slow targets; about 45 flows open in 2 s, of 380.

--- a/src/affinity/affinity_place.c
+++ b/src/affinity/affinity_place.c
@@ -4,9 +4,10 @@
 /* Costs, in requests in progress per slot. */
 #define COLD_COST       1.0  /* a target is slow for seconds after its start */
 #define LONG_LIVED_COST 0.05 /* of a flow that will carry more requests */
-/* Factor of the ratio of the target's answer time to the pool's mean, if above
- * 2. */
-#define SLOW_COST 2.0
+/* Factor of the ratio of the target's answer time to the pool's median, if
+ * above SLOW_RATIO. */
+#define SLOW_COST  2.0
+#define SLOW_RATIO 1.6
 
 /* Cost of another zone, in requests in progress per slot.  While this zone's
  * best target has fewer requests per slot, other zones are not examined.
@@ -29,19 +30,20 @@
     uint64_t now_us;
     const struct catalog_route *route;
     struct pool_id pool;
-    uint64_t pool_mean_answer_us; /* 0 if unknown */
+    uint64_t pool_mean_answer_us;   /* 0 if unknown */
+    uint64_t pool_median_answer_us; /* 0 if unknown */
     bool long_lived;
     bool local; /* targets of this daemon's zone, else of all others */
     bool include_unhealthy; /* also missing or suspect targets */
 };
 
-/* The candidate of the lowest cost, and the load of all candidates. */
+/* The candidate of the lowest cost, and the load of those that are not slow. */
 struct choice {
     const struct catalog_target *target;
     double cost;
-    unsigned ties;          /* candidates of the lowest cost so far */
-    uint32_t recent;        /* recent requests in progress at all candidates */
-    uint32_t slots;         /* of all candidates */
+    unsigned ties;   /* candidates of the lowest cost so far */
+    uint32_t recent; /* recent requests in progress */
+    uint32_t slots;
     uint64_t answer_sum_us; /* of their mean answer times */
     uint32_t answer_count;  /* candidates with a recent answer time */
 };
@@ -50,11 +52,16 @@
                                 const struct catalog_route *);
 static double target_cost(struct affinity_core *, uint64_t now_us,
                           const struct catalog_target *,
-                          uint64_t pool_mean_answer_us, bool long_lived);
-static uint64_t compute_pool_mean_answer_us(struct affinity_core *,
-                                            uint64_t now_us,
-                                            const struct catalog *,
-                                            struct pool_id);
+                          uint64_t pool_median_answer_us, bool long_lived);
+static GArray *recent_answer_times(struct affinity_core *, uint64_t now_us,
+                                   const struct catalog *, struct pool_id);
+static gint compare_times(gconstpointer, gconstpointer);
+static void set_answer_times(struct affinity_core *, const struct catalog *,
+                             struct search *);
+static double slowness(const struct affinity_load *, uint64_t now_us,
+                       uint64_t pool_median_answer_us);
+static void count_load(struct choice *, const struct catalog_target *,
+                       const struct affinity_load *, uint64_t now_us);
 static void keep_cheaper(struct affinity_core *, struct choice *,
                          const struct catalog_target *, double cost);
 static struct choice find_best(struct affinity_core *, const struct catalog *,
@@ -96,17 +103,17 @@
 }
 
 /*
- * Return the mean of the moving averages of the answer times of the ready
- * targets of POOL that have answered recently, in microseconds; 0 if there are
- * none.  An older average belongs to a load that is over.  With it flows would
- * still be rejected when no requests are queued any more.
+ * Return the moving averages of the answer times of the ready targets of POOL
+ * that have answered recently, in microseconds, as a new array.  An older
+ * average belongs to a load that is over.  With it flows would still be
+ * rejected when no requests are queued any more.
  */
-static uint64_t
-compute_pool_mean_answer_us(struct affinity_core *core, uint64_t now_us,
-                            const struct catalog *catalog, struct pool_id pool)
+static GArray *
+recent_answer_times(struct affinity_core *core, uint64_t now_us,
+                    const struct catalog *catalog, struct pool_id pool)
 {
     const GPtrArray *targets = catalog_targets(catalog);
-    uint64_t total = 0, count = 0;
+    GArray *times = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
     for (guint i = 0; i < targets->len; i++) {
         const struct catalog_target *target = targets->pdata[i];
@@ -119,27 +126,76 @@
         load = g_hash_table_lookup(core->loads, &target->host);
         if (load != NULL && load->mean_answer_us > 0 &&
             now_us - load->last_answer_us < ANSWER_MAX_AGE_US) {
-            total += load->mean_answer_us;
-            count++;
+            g_array_append_val(times, load->mean_answer_us);
         }
     }
-    return count == 0 ? 0 : total / count;
+    return times;
+}
+
+/* Compare two uint64_t for sorting. */
+static gint
+compare_times(gconstpointer a, gconstpointer b)
+{
+    uint64_t x = *(const uint64_t *)a;
+    uint64_t y = *(const uint64_t *)b;
+
+    return x < y ? -1 : x > y;
+}
+
+/*
+ * Set the median of the answer times of SEARCH's pool, and the mean without
+ * slow targets; 0 if no target has answered recently.
+ */
+static void
+set_answer_times(struct affinity_core *core, const struct catalog *catalog,
+                 struct search *search)
+{
+    GArray *times =
+        recent_answer_times(core, search->now_us, catalog, search->pool);
+    uint64_t total = 0;
+    guint count = 0;
+
+    g_array_sort(times, compare_times);
+    if (times->len > 0) {
+        search->pool_median_answer_us =
+            g_array_index(times, uint64_t, (times->len - 1) / 2);
+    }
+    while (count < times->len &&
+           (double)g_array_index(times, uint64_t, count) <=
+               SLOW_RATIO * (double)search->pool_median_answer_us) {
+        total += g_array_index(times, uint64_t, count++);
+    }
+    search->pool_mean_answer_us = count == 0 ? 0 : total / count;
+    g_array_unref(times);
+}
+
+/* Return the ratio of the target's recent answer time to
+ * POOL_MEDIAN_ANSWER_US; 0 if one of them is unknown. */
+static double
+slowness(const struct affinity_load *load, uint64_t now_us,
+         uint64_t pool_median_answer_us)
+{
+    return pool_median_answer_us == 0 ||
+                   now_us - load->last_answer_us >= ANSWER_MAX_AGE_US
+               ? 0
+               : (double)load->mean_answer_us / (double)pool_median_answer_us;
 }
 
 /*
  * Return the cost of a new flow on TARGET, in requests in progress per slot:
  * those in progress, those expected from long-lived flows, and a penalty if
- * the target has recently been slower than POOL_MEAN_ANSWER_US, its pool's
- * mean.  Long-lived flows are distributed evenly, mostly regardless of the
+ * the target has recently been slower than POOL_MEDIAN_ANSWER_US, its pool's
+ * median, which some slow targets do not raise.  Long-lived flows are distributed evenly, mostly regardless of the
  * requests in progress.
  */
 static double
 target_cost(struct affinity_core *core, uint64_t now_us,
-            const struct catalog_target *target, uint64_t pool_mean_answer_us,
-            bool long_lived)
+            const struct catalog_target *target,
+            uint64_t pool_median_answer_us, bool long_lived)
 {
     const struct affinity_load *load = affinity_load_get(core, target->host);
     double slots = MAX(target->slots, 1);
+    double ratio;
     double cost = long_lived ? (load->long_lived_flows +
                                 LONG_LIVED_COST * load->requests_in_progress) /
                                    slots
@@ -150,10 +206,9 @@
     if (now_us < load->cold_until_us) {
         cost += COLD_COST;
     }
-    if (pool_mean_answer_us > 0 &&
-        load->mean_answer_us > 2 * pool_mean_answer_us) {
-        cost += SLOW_COST * (double)load->mean_answer_us /
-                (double)pool_mean_answer_us;
+    ratio = slowness(load, now_us, pool_median_answer_us);
+    if (ratio > SLOW_RATIO) {
+        cost += SLOW_COST * ratio;
     }
     return cost;
 }
@@ -178,9 +233,25 @@
     }
 }
 
+/* Count the load of TARGET among that of the candidates of CHOICE. */
+static void
+count_load(struct choice *choice, const struct catalog_target *target,
+           const struct affinity_load *load, uint64_t now_us)
+{
+    choice->recent += load->recent;
+    choice->slots += MAX(target->slots, 1);
+    if (load->mean_answer_us > 0 &&
+        now_us - load->last_answer_us < ANSWER_MAX_AGE_US) {
+        choice->answer_sum_us += load->mean_answer_us;
+        choice->answer_count++;
+    }
+}
+
 /*
  * Return the cheapest of the targets that SEARCH describes, NULL if there are
- * none, and the load of all of them.  CANDIDATES is increased by their number.
+ * none, and the load of those that are not slow: a slow target gets few new
+ * flows, so the requests that wait there say nothing of the others.
+ * CANDIDATES is increased by the number of targets.
  */
 static struct choice
 find_best(struct affinity_core *core, const struct catalog *catalog,
@@ -208,16 +279,13 @@
             continue;
         }
         (*candidates)++;
-        best.recent += load->recent;
-        best.slots += MAX(target->slots, 1);
-        if (load->mean_answer_us > 0 &&
-            search->now_us - load->last_answer_us < ANSWER_MAX_AGE_US) {
-            best.answer_sum_us += load->mean_answer_us;
-            best.answer_count++;
+        if (slowness(load, search->now_us, search->pool_median_answer_us) <=
+            SLOW_RATIO) {
+            count_load(&best, target, load, search->now_us);
         }
         keep_cheaper(core, &best, target,
                      target_cost(core, search->now_us, target,
-                                 search->pool_mean_answer_us,
+                                 search->pool_median_answer_us,
                                  search->long_lived));
     }
     return best;
@@ -336,8 +404,7 @@
     const struct catalog_target *target;
     struct choice choice;
 
-    search.pool_mean_answer_us =
-        compute_pool_mean_answer_us(core, now_us, catalog, search.pool);
+    set_answer_times(core, catalog, &search);
     verdict->pool_mean_answer_us = search.pool_mean_answer_us;
     choice = choose_target(core, catalog, &search, &verdict->candidates);
     verdict->utilization = estimate_utilization(core, &choice);
--- a/tests/unit/test_affinity.c
+++ b/tests/unit/test_affinity.c
@@ -26,6 +26,7 @@
 static void test_draining_and_missing(void **);
 static void test_avoided_target(void **);
 static void test_long_lived_flows_distributed_evenly(void **);
+static void test_slow_targets_get_no_flows(void **);
 static void test_own_zone_first(void **);
 static void test_route_change_keeps_flows(void **);
 
@@ -468,6 +469,50 @@
     free_fixture(&fixture);
 }
 
+/*
+ * Two of five targets take five times as long as the others, and requests pile
+ * up there.  The others get the new flows, and none is refused: what waits at
+ * the slow targets says nothing of the others.
+ */
+static void
+test_slow_targets_get_no_flows(void **state)
+{
+    struct affinity_fixture fixture = new_fixture(5);
+    uint64_t hosts[101] = {0};
+    uint32_t cookies[101] = {0};
+
+    (void)state;
+    for (uint16_t port = 1; port <= 100; port++) {
+        hosts[port] = open_flow(&fixture, port);
+        cookies[port] = fixture.verdict.target->cookie;
+    }
+    for (uint32_t round = 1; round <= 8; round++) {
+        for (uint16_t port = 1; port <= 100; port++) {
+            send_packet(&fixture, port, AFFINITY_ACK, cookies[port], round,
+                        10);
+        }
+        for (uint64_t slow = 0; slow <= 1; slow++) {
+            fixture.now_us += slow == 0 ? 40000 : 160000;
+            for (uint16_t port = 1; port <= 100; port++) {
+                if ((hosts[port] > 3) == (slow == 1)) {
+                    send_packet(&fixture, port, AFFINITY_ACK, cookies[port],
+                                round + 1, 0);
+                }
+            }
+        }
+    }
+    for (uint16_t port = 1; port <= 100; port++) {
+        if (hosts[port] > 3) {
+            send_packet(&fixture, port, AFFINITY_ACK, cookies[port], 9, 10);
+        }
+    }
+    for (uint16_t port = 200; port < 260; port++) {
+        fixture.now_us += 10000;
+        assert_in_range(open_flow(&fixture, port), 1, 3);
+    }
+    free_fixture(&fixture);
+}
+
 int
 main(void)
 {
@@ -489,6 +534,7 @@
         cmocka_unit_test(test_draining_and_missing),
         cmocka_unit_test(test_avoided_target),
         cmocka_unit_test(test_long_lived_flows_distributed_evenly),
+        cmocka_unit_test(test_slow_targets_get_no_flows),
         cmocka_unit_test(test_own_zone_first),
         cmocka_unit_test(test_route_change_keeps_flows),
     };
