Track open flows that come to a daemon later

Cause: a daemon tracked flows from their opening only.

Change: a request on an unknown flow whose cookie names a target tracks the flow; uploads are left out, since the link's admission would have to know what they still send.

--- a/src/affinity/affinity.c
+++ b/src/affinity/affinity.c
@@ -256,6 +256,11 @@
     if (!verdict->bulk) {
         affinity_link_count_interactive(core, now_us, packet->payload);
     }
+    if (flow == NULL && packet->payload > 0 && verdict->route != NULL &&
+        !verdict->ended && verdict->target->state != CATALOG_GONE) {
+        flow = affinity_flow_adopt(core, now_us, packet, verdict->route,
+                                   verdict->target->host);
+    }
     if (flow != NULL && flow->host == verdict->target->host) {
         affinity_flow_handle_packet(core, now_us, flow, packet);
     }
--- a/src/affinity/affinity_flow.c
+++ b/src/affinity/affinity_flow.c
@@ -85,13 +85,13 @@
 }
 
 /*
- * Track the new flow of ROUTE whose first packet is PACKET and whose target is
- * on HOST.  Return the flow, or NULL if flows_max flows are tracked.
+ * Track the flow of ROUTE to which PACKET belongs and whose target is on HOST.
+ * Return the flow, in its handshake, or NULL if flows_max flows are tracked.
  */
-struct affinity_flow *
-affinity_flow_add(struct affinity_core *core, uint64_t now_us,
-                  const struct affinity_packet *packet,
-                  const struct catalog_route *route, uint64_t host)
+static struct affinity_flow *
+track_flow(struct affinity_core *core, uint64_t now_us,
+           const struct affinity_packet *packet,
+           const struct catalog_route *route, uint64_t host)
 {
     struct affinity_flow *flow;
     struct affinity_route_stats *stats =
@@ -117,9 +117,50 @@
     if (flow->long_lived) {
         affinity_load_get(core, host)->long_lived_flows++;
     }
+    return flow;
+}
+
+/*
+ * Track the new flow of ROUTE whose first packet is PACKET and whose target is
+ * on HOST, if there is space.
+ */
+void
+affinity_flow_add(struct affinity_core *core, uint64_t now_us,
+                  const struct affinity_packet *packet,
+                  const struct catalog_route *route, uint64_t host)
+{
+    struct affinity_flow *flow = track_flow(core, now_us, packet, route, host);
+
+    if (flow == NULL) {
+        return;
+    }
     affinity_link_add_flow(core, flow, route);
     affinity_silence_sent(core, now_us, affinity_load_get(core, host), false);
     begin_request(core, now_us, flow);
+}
+
+/*
+ * Track the open flow of ROUTE whose request PACKET comes through this daemon
+ * for the first time, as all flows do when the fabric's hash changes.  Return
+ * it, or NULL if there is no space.  Uploads are left out: what they still
+ * have to send is not known.
+ */
+struct affinity_flow *
+affinity_flow_adopt(struct affinity_core *core, uint64_t now_us,
+                    const struct affinity_packet *packet,
+                    const struct catalog_route *route, uint64_t host)
+{
+    struct affinity_flow *flow;
+
+    if (catalog_kind_traits(route->kind)->large_request) {
+        return NULL;
+    }
+    flow = track_flow(core, now_us, packet, route, host);
+    if (flow != NULL) {
+        flow->phase = AFFINITY_ESTABLISHED;
+        flow->acknowledged = packet->acknowledged;
+        flow->next_sequence = packet->sequence;
+    }
     return flow;
 }
 
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -175,11 +175,14 @@
 /* affinity_flow.c: tracked flows and route statistics */
 struct affinity_flow *affinity_flow_find(struct affinity_core *,
                                          const struct affinity_packet *);
-struct affinity_flow *affinity_flow_add(struct affinity_core *,
-                                        uint64_t now_us,
-                                        const struct affinity_packet *,
-                                        const struct catalog_route *,
-                                        uint64_t host);
+void affinity_flow_add(struct affinity_core *, uint64_t now_us,
+                       const struct affinity_packet *,
+                       const struct catalog_route *, uint64_t host);
+struct affinity_flow *affinity_flow_adopt(struct affinity_core *,
+                                          uint64_t now_us,
+                                          const struct affinity_packet *,
+                                          const struct catalog_route *,
+                                          uint64_t host);
 void affinity_flow_remove(struct affinity_core *, struct affinity_flow *);
 void affinity_flow_handle_packet(struct affinity_core *, uint64_t now_us,
                                  struct affinity_flow *,
--- a/tests/unit/test_affinity_silence.c
+++ b/tests/unit/test_affinity_silence.c
@@ -29,6 +29,7 @@
 static void test_flows_of_dead_target_are_reset(void **);
 static void test_new_flows_avoid_dead_target(void **);
 static void test_unknown_flow_of_dead_target(void **);
+static void test_moved_flows_reveal_dead_target(void **);
 static void test_slow_target_keeps_flows(void **);
 static void test_late_acknowledgement(void **);
 static void test_zone_out_of_reach(void **);
@@ -160,6 +161,30 @@
     free_fixture(&silence.fixture);
 }
 
+/* All flows have moved here with the fabric's hash: their requests show that a
+ * target is dead, and its flows that were seen are reset. */
+static void
+test_moved_flows_reveal_dead_target(void **state)
+{
+    struct affinity_options options = {.zone = ZONE, .seed = 99};
+    struct silence silence = open_flows();
+    struct affinity_fixture *fixture = &silence.fixture;
+
+    (void)state;
+    affinity_core_free(fixture->core);
+    fixture->core = affinity_core_new(&options);
+    for (uint16_t port = 1; port <= FLOWS; port++) {
+        send_packet(fixture, port, AFFINITY_ACK, silence.cookies[port], 2, 10);
+        fixture->now_us += 10000;
+        send_packet(fixture, port, AFFINITY_ACK, silence.cookies[port], 3, 0);
+    }
+    silence.dead = 1U << silence.hosts[1];
+    pass_time(&silence, SILENT_US);
+    assert_int_equal(silence.silent, silence.dead);
+    assert_int_equal(silence.resets, count_flows(&silence));
+    free_fixture(fixture);
+}
+
 /* A target that accepts connections is alive, however late its answers. */
 static void
 test_slow_target_keeps_flows(void **state)
@@ -249,6 +274,7 @@
         cmocka_unit_test(test_flows_of_dead_target_are_reset),
         cmocka_unit_test(test_new_flows_avoid_dead_target),
         cmocka_unit_test(test_unknown_flow_of_dead_target),
+        cmocka_unit_test(test_moved_flows_reveal_dead_target),
         cmocka_unit_test(test_slow_target_keeps_flows),
         cmocka_unit_test(test_late_acknowledgement),
         cmocka_unit_test(test_zone_out_of_reach),
