Find dead targets with a third of the probes

Change: the first probe of a suspect is a single one; then rounds of five, with three references, 210 ms apart, of which no pause of 200 ms explains two; a false alarm once in 1e7; a round at a target that answers later is one loss, not five. The share of packets sent again is only the prior of the probes' loss, since it counts slow answers too; rounds older than 0.8 s do not count. Ruled out on the way by the properties: the worse of both estimates, and evidence that begins anew when no reference answers (targets of 1 in 100 worlds not found in 2 s).

--- a/src/affinity/affinity_silence.c
+++ b/src/affinity/affinity_silence.c
@@ -26,7 +26,7 @@
 #include "affinity/affinity_state.h"
 
 /* Probability that a living target is taken for dead, for each suspicion. */
-#define FALSE_ALARM 1e-6
+#define FALSE_ALARM 1e-7
 /* A VM may stand still for this time and go on. */
 #define PAUSE_MAX_US 200000U
 
@@ -41,9 +41,17 @@
 #define PROBE_TIMEOUT_MIN_US 30000U
 #define PROBE_TIMEOUT_MAX_US 200000U
 
-/* Probes of a round: of the target, and of references. */
-#define SUSPECT_PROBES 3
+/* Probes of a round: of the target, and of references.  The first round is a
+ * single probe, which most suspects answer. */
+#define SUSPECT_PROBES 5
 #define REFERENCES     3
+/* Between rounds that count: no pause explains two of them. */
+#define ROUND_INTERVAL_US (PAUSE_MAX_US + 10000U)
+/* Older rounds do not count: the target may have stood still twice. */
+#define ROUND_AGE_MAX_US 800000U
+/* Probes that the loss of packets counts for in the estimate of the probes'
+ * loss. */
+#define PRIOR_PROBES 4.0
 /* A target that has answered within this time may be a reference. */
 #define REFERENCE_AGE_MAX_US 1000000U
 
@@ -51,7 +59,7 @@
 #define ANSWERED_PAUSE_US 500000U
 /* Between the probes of a silent target, or of one whose references do not
  * answer either, at first and at most. */
-#define RECHECK_MIN_US 100000U
+#define RECHECK_MIN_US 200000U
 #define RECHECK_MAX_US 4000000U
 
 #define LOSS_HALF_LIFE_US 1000000U
@@ -59,7 +67,6 @@
 
 static void halve(struct affinity_trials *);
 static void decay_loss(struct affinity_core *, uint64_t now_us);
-static double share_lost(const struct affinity_trials *);
 static double loss_share(const struct affinity_core *);
 static void record_life(struct affinity_core *, uint64_t now_us,
                         struct affinity_load *);
@@ -117,21 +124,21 @@
     }
 }
 
-/* Return the estimated probability that one of TRIALS is lost, by the rule of
- * succession. */
-static double
-share_lost(const struct affinity_trials *trials)
-{
-    return (trials->lost + 1) / (trials->answered + trials->lost + 2);
-}
-
-/* Return the estimated probability that a probe of a living target is lost.
- * Packets are lost in other ways than probes, so the worse estimate counts. */
+/*
+ * Return the estimated probability that a probe of a living target is lost.
+ * Probes are few at first, so the share of packets that callers sent again is
+ * the prior estimate; it also counts answers that are only slow.
+ */
 static double
 loss_share(const struct affinity_core *core)
 {
-    return MAX(share_lost(&core->loss.packets),
-               share_lost(&core->loss.probes));
+    const struct affinity_trials *packets = &core->loss.packets;
+    const struct affinity_trials *probes = &core->loss.probes;
+    double prior =
+        (packets->lost + 1) / (packets->answered + packets->lost + 2);
+
+    return (probes->lost + PRIOR_PROBES * prior) /
+           (probes->answered + probes->lost + PRIOR_PROBES);
 }
 
 /* Return the time after which an answer of the target is overdue. */
@@ -200,7 +207,8 @@
 record_life(struct affinity_core *core, uint64_t now_us,
             struct affinity_load *load)
 {
-    core->loss.probes.lost += load->suspicion.missed;
+    /* The probes of a round were lost together, or the target paused. */
+    core->loss.probes.lost += load->suspicion.rounds;
     load->heard_us = now_us;
     if (load->suspicion.silent) {
         report(core, now_us, load, AFFINITY_BELIEF_ANSWERING, 0);
@@ -283,7 +291,8 @@
 
 /*
  * Begin a round: write the probes of the target to PROBES, and those of
- * references unless it is silent already.  Return their number.
+ * references if it is suspected and not known to be silent.  Return their
+ * number.
  */
 static size_t
 begin_round(struct affinity_core *core, uint64_t now_us,
@@ -303,11 +312,12 @@
     suspicion->pending = 0;
     suspicion->references = 0;
     suspicion->answered = false;
-    suspicion->suspect_probes = suspicion->silent ? 1 : SUSPECT_PROBES;
+    suspicion->suspect_probes =
+        suspicion->silent || !suspicion->suspected ? 1 : SUSPECT_PROBES;
     while (count < suspicion->suspect_probes) {
         add_probe(core, target, load, &probes[count++]);
     }
-    if (!suspicion->silent) {
+    if (suspicion->suspect_probes > 1) {
         count += add_references(core, now_us, catalog, target, load,
                                 &probes[count]);
     }
@@ -400,7 +410,10 @@
         suspicion->next_round_us = now_us + ANSWERED_PAUSE_US;
         return;
     }
-    suspicion->suspected = true;
+    if (!suspicion->suspected) {
+        suspicion->suspected = true;
+        return;
+    }
     if (suspicion->silent || suspicion->references == 0) {
         back_off(suspicion, now_us);
         return;
@@ -414,8 +427,7 @@
 
 /*
  * Wait longer each time before the target is probed again, while no reference
- * answers either or the target is known to be silent.  It may stand still for
- * the first time when it is probed again, so the evidence begins anew.
+ * answers either or the target is known to be silent.
  */
 static void
 back_off(struct affinity_suspicion *suspicion, uint64_t now_us)
@@ -423,7 +435,6 @@
     suspicion->recheck_interval_us = CLAMP(2 * suspicion->recheck_interval_us,
                                            RECHECK_MIN_US, RECHECK_MAX_US);
     suspicion->next_round_us = now_us + suspicion->recheck_interval_us;
-    suspicion->rounds = 0;
 }
 
 /* Count a round without an answer of the target, although a reference gave
@@ -438,6 +449,7 @@
                 suspicion->rounds * sizeof(suspicion->rounds_us[0]));
     }
     suspicion->rounds_us[suspicion->rounds++] = suspicion->round_us;
+    suspicion->next_round_us = suspicion->round_us + ROUND_INTERVAL_US;
 }
 
 /* Return the number of rounds without an answer that remain if the target
@@ -445,16 +457,22 @@
 static uint32_t
 unexplained_rounds(const struct affinity_suspicion *suspicion)
 {
-    uint32_t first = 0, longest = 0;
+    uint32_t first = 0, longest = 0, start;
 
-    for (uint32_t last = 0; last < suspicion->rounds; last++) {
+    while (first < suspicion->rounds &&
+           suspicion->round_us - suspicion->rounds_us[first] >
+               ROUND_AGE_MAX_US) {
+        first++;
+    }
+    start = first;
+    for (uint32_t last = start; last < suspicion->rounds; last++) {
         while (suspicion->rounds_us[last] - suspicion->rounds_us[first] >
                PAUSE_MAX_US) {
             first++;
         }
         longest = MAX(longest, last - first + 1);
     }
-    return suspicion->rounds - longest;
+    return suspicion->rounds - start - longest;
 }
 
 /* Return true if a living target leaves that many probes unanswered only with
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -15,7 +15,7 @@
     uint16_t destination_port;
 };
 
-#define AFFINITY_ROUNDS_MAX 32 /* of probes without an answer */
+#define AFFINITY_ROUNDS_MAX 16 /* of probes without an answer */
 
 /* A target of which nothing was heard since a packet was sent to it. */
 struct affinity_suspicion {
