Log each flow that is reset for a silent target, and explain it

A caller's complaint names its address and port; the line target-silent gave only the number of flows. Each reset has the line of a refused flow now, and parsleyspur explain knows the reason.

--- a/src/affinity/affinity_silence.c
+++ b/src/affinity/affinity_silence.c
@@ -521,6 +521,7 @@
         last->source_port = flow->key.source_port;
         last->destination = flow->key.destination;
         last->destination_port = flow->key.destination_port;
+        last->cookie = catalog_cookie(host);
         last->acknowledged = flow->acknowledged;
         last->flags = AFFINITY_ACK;
         g_queue_push_tail(&core->resets, last);
--- a/src/explain/explain_cause.c
+++ b/src/explain/explain_cause.c
@@ -43,6 +43,9 @@
      "(link_owed, bytes) that this one would not pass it in time"},
     {"target-gone", CONTEXT_TARGET,
      "the flow's target has ended, or its address belongs to another one"},
+    {"target-silent", CONTEXT_TARGET,
+     "the flow's target answered neither packets nor probes, while others of "
+     "its zone did (target-silent)"},
     {"unknown-cookie", CONTEXT_DAEMON,
      "the daemon did not know the flow's target yet"},
     {"no-cookie", CONTEXT_NONE,
@@ -75,6 +78,16 @@
      "the request may have run; ask the service before it is sent again"},
     {"target-gone", "non-idempotent",
      "the request may have run; ask the service before it is sent again"},
+    {"target-silent", "idempotent",
+     "the request may have run; it is idempotent, so the caller may ask "
+     "again"},
+    {"target-silent", "download",
+     "the answer was cut off; it is idempotent, so the caller may ask again"},
+    {"target-silent", "upload",
+     "the request may have run; ask the service before it is sent again"},
+    {"target-silent", "non-idempotent",
+     "a request in progress may have run; ask the service before it is sent "
+     "again"},
 };
 
 static const char *const daemon_events[] = {
--- a/src/fleet/fleet_entry_private.h
+++ b/src/fleet/fleet_entry_private.h
@@ -58,8 +58,8 @@
 bool fleet_packet_start(struct fleet *, GError **);
 void fleet_packet_close(struct fleet *);
 void fleet_packet_free(struct fleet *);
-void fleet_packet_send_reset(struct fleet *, uint64_t now_us,
-                             const struct affinity_packet *);
+void fleet_packet_end_flow(struct fleet *, uint64_t now_us,
+                           const struct affinity_packet *);
 void fleet_packet_send_queued(struct fleet *);
 void fleet_packet_resume_held(struct fleet *);
 
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -27,6 +27,8 @@
 static void write_spans(struct fleet *, int64_t start_us,
                         const struct affinity_packet *,
                         const struct affinity_verdict *);
+static void send_reset(struct fleet *, uint64_t now_us,
+                       const struct affinity_packet *);
 static bool awaits_catalog(const struct fleet_entry *,
                            const struct affinity_verdict *);
 static void hold_packet(struct fleet_entry *, uint64_t now_us,
@@ -276,9 +278,9 @@
 }
 
 /* Queue a reset that answers PACKET to its caller. */
-void
-fleet_packet_send_reset(struct fleet *fleet, uint64_t now_us,
-                        const struct affinity_packet *packet)
+static void
+send_reset(struct fleet *fleet, uint64_t now_us,
+           const struct affinity_packet *packet)
 {
     struct fleet_entry *entry = fleet->entry;
     struct shape_packet out = {
@@ -295,6 +297,24 @@
     shape_enqueue(entry->shape, now_us, &out);
 }
 
+/* Reset the flow whose last packet was PACKET: its target is silent. */
+void
+fleet_packet_end_flow(struct fleet *fleet, uint64_t now_us,
+                      const struct affinity_packet *packet)
+{
+    struct affinity_verdict verdict = {
+        .action = AFFINITY_RESET,
+        .reason = AFFINITY_TARGET_SILENT,
+        .target = catalog_find_cookie(fleet->catalog, packet->cookie),
+        .route = catalog_find_route(
+            fleet->catalog, catalog_endpoint_key(packet->destination,
+                                                 packet->destination_port)),
+    };
+
+    log_verdict(fleet, now_us, packet, &verdict);
+    send_reset(fleet, now_us, packet);
+}
+
 /* Return true if the packet of VERDICT was dropped because this daemon has no
  * catalog yet, or an older one than callers have seen. */
 static bool
@@ -396,7 +416,7 @@
         shape_enqueue(entry->shape, now_us, &out);
         break;
     case AFFINITY_RESET:
-        fleet_packet_send_reset(fleet, now_us, &packet);
+        send_reset(fleet, now_us, &packet);
         break;
     case AFFINITY_DROP:
         if (awaits_catalog(entry, &verdict)) {
--- a/src/fleet/fleet_probe.c
+++ b/src/fleet/fleet_probe.c
@@ -202,7 +202,7 @@
     struct affinity_packet last;
 
     while (affinity_core_next_reset(fleet->entry->affinity, &last)) {
-        fleet_packet_send_reset(fleet, now_us, &last);
+        fleet_packet_end_flow(fleet, now_us, &last);
     }
     fleet_packet_send_queued(fleet);
 }
