--- a/src/affinity/affinity_silence.c
+++ b/src/affinity/affinity_silence.c
@@ -30,30 +30,10 @@
 /* A VM may stand still for this time and go on. */
 #define PAUSE_MAX_US 200000U
 
-/* An answer is overdue after this multiple of its target's mean answer time.
- * The limits apply to targets that answer very quickly or slowly. */
-#define OVERDUE_ANSWER_TIMES 2
-#define OVERDUE_MIN_US       50000U
-#define OVERDUE_MAX_US       200000U
-
-/* A probe times out after this multiple of the slowest recent connection. */
-#define CONNECT_TIMES        8
-#define PROBE_TIMEOUT_MIN_US 30000U
-#define PROBE_TIMEOUT_MAX_US 200000U
-
-/* Probes of a round: of the target, and of references.  The first round is a
- * single probe, which most suspects answer. */
-#define SUSPECT_PROBES 5
-#define REFERENCES     3
 /* Between rounds that count: no pause explains two of them. */
 #define ROUND_INTERVAL_US (PAUSE_MAX_US + 10000U)
 /* Older rounds do not count: the target may have stood still twice. */
 #define ROUND_AGE_MAX_US 800000U
-/* Probes that the loss of packets counts for in the estimate of the probes'
- * loss. */
-#define PRIOR_PROBES 4.0
-/* A target that has answered within this time may be a reference. */
-#define REFERENCE_AGE_MAX_US 1000000U
 
 /* Between the probes of a target that answers them but not its callers. */
 #define ANSWERED_PAUSE_US 500000U
@@ -62,31 +42,8 @@
 #define RECHECK_MIN_US 200000U
 #define RECHECK_MAX_US 4000000U
 
-#define LOSS_HALF_LIFE_US 1000000U
-#define LOSS_FORGOTTEN_US 30000000U
-
-static void halve(struct affinity_trials *);
-static void decay_loss(struct affinity_core *, uint64_t now_us);
-static double loss_share(const struct affinity_core *);
 static void record_life(struct affinity_core *, uint64_t now_us,
                         struct affinity_load *);
-static uint64_t overdue_us(const struct affinity_load *);
-static uint32_t probe_timeout_us(const struct affinity_core *);
-static void add_probe(struct affinity_core *, const struct catalog_target *,
-                      struct affinity_load *suspect, struct affinity_probe *);
-static bool is_reference(struct affinity_core *, uint64_t now_us,
-                         const struct catalog_target *,
-                         const struct catalog_target *suspect);
-static size_t add_references(struct affinity_core *, uint64_t now_us,
-                             const struct catalog *,
-                             const struct catalog_target *suspect,
-                             struct affinity_load *, struct affinity_probe *);
-static size_t begin_round(struct affinity_core *, uint64_t now_us,
-                          const struct catalog *, struct affinity_load *,
-                          struct affinity_probe *);
-static bool round_is_due(const struct affinity_load *, uint64_t now_us);
-static void end_round(struct affinity_core *, uint64_t now_us,
-                      struct affinity_load *);
 static void back_off(struct affinity_suspicion *, uint64_t now_us);
 static void count_missed(struct affinity_suspicion *);
 static uint32_t unexplained_rounds(const struct affinity_suspicion *);
@@ -99,66 +56,6 @@
                    const struct affinity_load *, enum affinity_belief_kind,
                    uint32_t flows);
 
-/* Halve the counts of TRIALS. */
-static void
-halve(struct affinity_trials *trials)
-{
-    trials->answered /= 2;
-    trials->lost /= 2;
-}
-
-/* Halve the counts of trials for each half-life that has passed. */
-static void
-decay_loss(struct affinity_core *core, uint64_t now_us)
-{
-    struct affinity_loss *loss = &core->loss;
-
-    if (now_us - loss->halved_us > LOSS_FORGOTTEN_US) {
-        *loss = (struct affinity_loss){.halved_us = now_us};
-    }
-    while (now_us - loss->halved_us >= LOSS_HALF_LIFE_US) {
-        halve(&loss->packets);
-        halve(&loss->probes);
-        loss->connect_us /= 2;
-        loss->halved_us += LOSS_HALF_LIFE_US;
-    }
-}
-
-/*
- * Return the estimated probability that a probe of a living target is lost.
- * Probes are few at first, so the share of packets that callers sent again is
- * the prior estimate; it also counts answers that are only slow.
- */
-static double
-loss_share(const struct affinity_core *core)
-{
-    const struct affinity_trials *packets = &core->loss.packets;
-    const struct affinity_trials *probes = &core->loss.probes;
-    double prior =
-        (packets->lost + 1) / (packets->answered + packets->lost + 2);
-
-    return (probes->lost + PRIOR_PROBES * prior) /
-           (probes->answered + probes->lost + PRIOR_PROBES);
-}
-
-/* Return the time after which an answer of the target is overdue. */
-static uint64_t
-overdue_us(const struct affinity_load *load)
-{
-    return load->mean_answer_us == 0
-               ? OVERDUE_MAX_US
-               : CLAMP(load->mean_answer_us * OVERDUE_ANSWER_TIMES,
-                       OVERDUE_MIN_US, OVERDUE_MAX_US);
-}
-
-/* Return the time that a probe waits for a connection. */
-static uint32_t
-probe_timeout_us(const struct affinity_core *core)
-{
-    return (uint32_t)CLAMP(core->loss.connect_us * CONNECT_TIMES,
-                           PROBE_TIMEOUT_MIN_US, PROBE_TIMEOUT_MAX_US);
-}
-
 /* Return true while the target gets no new flows if there are others: it is
  * silent, or did not answer a probe. */
 bool
@@ -196,7 +93,7 @@
     if (previous_us < load->suspicion.since_us) {
         return;
     }
-    decay_loss(core, now_us);
+    affinity_loss_decay(core, now_us);
     core->loss.packets.answered++;
     core->loss.packets.lost += load->suspicion.packets;
     record_life(core, now_us, load);
@@ -231,177 +128,10 @@
     };
 }
 
-/* Write a probe of TARGET, which is about SUSPECT, to PROBE. */
-static void
-add_probe(struct affinity_core *core, const struct catalog_target *target,
-          struct affinity_load *suspect, struct affinity_probe *probe)
-{
-    *probe = (struct affinity_probe){
-        .suspect = suspect->host,
-        .host = target->host,
-        .round = suspect->suspicion.round,
-        .address = target->address,
-        .port = target->port,
-        .timeout_us = probe_timeout_us(core),
-    };
-    suspect->suspicion.pending++;
-    core->counters.probes++;
-}
-
-/* Return true if TARGET is in the zone of SUSPECT and has answered recently. */
-static bool
-is_reference(struct affinity_core *core, uint64_t now_us,
-             const struct catalog_target *target,
-             const struct catalog_target *suspect)
-{
-    const struct affinity_load *load;
-
-    if (target->zone != suspect->zone || target->host == suspect->host ||
-        target->state == CATALOG_GONE || target->missing) {
-        return false;
-    }
-    load = g_hash_table_lookup(core->loads, &target->host);
-    return load != NULL && load->heard_us != 0 &&
-           now_us - load->heard_us < REFERENCE_AGE_MAX_US &&
-           !affinity_silence_is_suspected(load);
-}
-
-/* Add probes of up to REFERENCES targets, drawn at random, to PROBES.  Return
- * their number. */
-static size_t
-add_references(struct affinity_core *core, uint64_t now_us,
-               const struct catalog *catalog,
-               const struct catalog_target *suspect,
-               struct affinity_load *load, struct affinity_probe *probes)
-{
-    const GPtrArray *targets = catalog_targets(catalog);
-    guint start = g_rand_int(core->rand) % MAX(targets->len, 1);
-    size_t count = 0;
-
-    for (guint i = 0; i < targets->len && count < REFERENCES; i++) {
-        const struct catalog_target *target =
-            targets->pdata[(start + i) % targets->len];
-
-        if (is_reference(core, now_us, target, suspect)) {
-            add_probe(core, target, load, &probes[count++]);
-        }
-    }
-    return count;
-}
-
-/*
- * Begin a round: write the probes of the target to PROBES, and those of
- * references if it is suspected and not known to be silent.  Return their
- * number.
- */
-static size_t
-begin_round(struct affinity_core *core, uint64_t now_us,
-            const struct catalog *catalog, struct affinity_load *load,
-            struct affinity_probe *probes)
-{
-    const struct catalog_target *target =
-        catalog_find_target(catalog, load->host);
-    struct affinity_suspicion *suspicion = &load->suspicion;
-    size_t count = 0;
-
-    if (target == NULL || target->state == CATALOG_GONE) {
-        return 0;
-    }
-    suspicion->round++;
-    suspicion->round_us = now_us;
-    suspicion->pending = 0;
-    suspicion->references = 0;
-    suspicion->answered = false;
-    suspicion->suspect_probes =
-        suspicion->silent || !suspicion->suspected ? 1 : SUSPECT_PROBES;
-    while (count < suspicion->suspect_probes) {
-        add_probe(core, target, load, &probes[count++]);
-    }
-    if (suspicion->suspect_probes > 1) {
-        count += add_references(core, now_us, catalog, target, load,
-                                &probes[count]);
-    }
-    return count;
-}
-
-/* Return true if the target is to be probed now. */
-static bool
-round_is_due(const struct affinity_load *load, uint64_t now_us)
-{
-    const struct affinity_suspicion *suspicion = &load->suspicion;
-
-    return suspicion->pending == 0 && now_us >= suspicion->next_round_us &&
-           now_us - suspicion->since_us >= overdue_us(load);
-}
-
-/*
- * Write the probes that are due to PROBES, at most MAX, and return their
- * number.  The caller reports each outcome to affinity_core_record_probe().
- */
-size_t
-affinity_core_due_probes(struct affinity_core *core, uint64_t now_us,
-                         const struct catalog *catalog,
-                         struct affinity_probe *probes, size_t max)
-{
-    size_t count = 0;
-
-    for (GList *item = core->suspicions.head; item != NULL;
-         item = item->next) {
-        struct affinity_load *load = item->data;
-
-        if (now_us - load->suspicion.since_us < OVERDUE_MIN_US ||
-            count + SUSPECT_PROBES + REFERENCES > max) {
-            break;
-        }
-        if (round_is_due(load, now_us)) {
-            count += begin_round(core, now_us, catalog, load, &probes[count]);
-        }
-    }
-    return count;
-}
-
-/*
- * Record the OUTCOME of PROBE, known TOOK_US after it began.  A connection is a
- * sign of life.  The round ends with its last outcome.
- */
-void
-affinity_core_record_probe(struct affinity_core *core, uint64_t now_us,
-                           const struct affinity_probe *probe,
-                           enum affinity_probe_outcome outcome,
-                           uint64_t took_us)
-{
-    struct affinity_load *load =
-        g_hash_table_lookup(core->loads, &probe->suspect);
-    bool connected = outcome == AFFINITY_PROBE_CONNECTED;
-
-    decay_loss(core, now_us);
-    if (connected) {
-        core->loss.connect_us = MAX(core->loss.connect_us, took_us);
-    }
-    if (probe->host != probe->suspect) {
-        core->loss.probes.answered += connected ? 1 : 0;
-        core->loss.probes.lost += connected ? 0 : 1;
-    }
-    if (load == NULL || load->suspicion.round != probe->round ||
-        load->suspicion.pending == 0) {
-        return;
-    }
-    load->suspicion.pending--;
-    if (probe->host != probe->suspect) {
-        load->suspicion.references += connected ? 1 : 0;
-    }
-    else {
-        load->suspicion.answered |= connected;
-    }
-    if (load->suspicion.pending == 0) {
-        end_round(core, now_us, load);
-    }
-}
-
 /* Draw the conclusion from the round that has just ended. */
-static void
-end_round(struct affinity_core *core, uint64_t now_us,
-          struct affinity_load *load)
+void
+affinity_silence_end_round(struct affinity_core *core, uint64_t now_us,
+                           struct affinity_load *load)
 {
     struct affinity_suspicion *suspicion = &load->suspicion;
 
@@ -481,9 +211,10 @@
 is_proved_silent(const struct affinity_core *core,
                  const struct affinity_load *load)
 {
-    uint32_t probes = unexplained_rounds(&load->suspicion) * SUSPECT_PROBES;
+    uint32_t probes =
+        unexplained_rounds(&load->suspicion) * AFFINITY_SUSPECT_PROBES;
 
-    return probes * log(loss_share(core)) <= log(FALSE_ALARM);
+    return probes * log(affinity_loss_share(core)) <= log(FALSE_ALARM);
 }
 
 /* Take the target for dead: its flows are reset, and it is probed from time to
@@ -546,7 +277,7 @@
     belief->silent_us = now_us - suspicion->since_us;
     belief->packets = 1 + suspicion->packets;
     belief->probes = suspicion->missed;
-    belief->loss = loss_share(core);
+    belief->loss = affinity_loss_share(core);
     belief->flows = flows;
     g_queue_push_tail(&core->beliefs, belief);
 }
--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -15,7 +15,8 @@
     uint16_t destination_port;
 };
 
-#define AFFINITY_ROUNDS_MAX 16 /* of probes without an answer */
+#define AFFINITY_SUSPECT_PROBES 5  /* of a target, in a round */
+#define AFFINITY_ROUNDS_MAX     16 /* of probes without an answer */
 
 /* A target of which nothing was heard since a packet was sent to it. */
 struct affinity_suspicion {
@@ -164,12 +165,19 @@
                                      struct affinity_load *, uint64_t now_us);
 void affinity_load_sweep(struct affinity_core *, const struct catalog *);
 
+/* affinity_loss.c: what this daemon's network loses */
+void affinity_loss_decay(struct affinity_core *, uint64_t now_us);
+double affinity_loss_share(const struct affinity_core *);
+uint32_t affinity_loss_probe_timeout_us(const struct affinity_core *);
+
 /* affinity_silence.c: targets that are down or out of reach */
 void affinity_silence_sent(struct affinity_core *, uint64_t now_us,
                            struct affinity_load *, bool retransmitted);
 void affinity_silence_heard(struct affinity_core *, uint64_t now_us,
                             struct affinity_load *, uint64_t previous_us);
 bool affinity_silence_is_suspected(const struct affinity_load *);
+void affinity_silence_end_round(struct affinity_core *, uint64_t now_us,
+                                struct affinity_load *);
 void affinity_silence_forget(struct affinity_core *, struct affinity_load *);
 
 /* affinity_flow.c: tracked flows and route statistics */
