--- a/tests/unit/quorum_cluster.h
+++ b/tests/unit/quorum_cluster.h
@@ -32,9 +32,9 @@
     uint64_t sync_due_us; /* end of the sync that runs; 0 if none */
     uint64_t sync_token;  /* last action that it completes */
     uint64_t last_token;  /* last action issued */
-    bool isolated;       /* it neither sends nor receives messages */
-    uint64_t applied;    /* last index applied */
-    uint64_t installed;  /* index of the last snapshot installed */
+    bool isolated;        /* it neither sends nor receives messages */
+    uint64_t applied;     /* last index applied */
+    uint64_t installed;   /* index of the last snapshot installed */
     uint64_t refused[QUORUM_REFUSAL__MAX];
     uint64_t sent[QUORUM_MSG__MAX];
 };
--- a/tests/unit/test_fleet_hold.c
+++ b/tests/unit/test_fleet_hold.c
@@ -61,7 +61,7 @@
 
     (void)state;
     for (uint8_t key = 1; key <= 5; key++) {
-        assert_true(add(hold, key * 10 * MS, key, key == 3, 0));
+        assert_true(add(hold, (uint64_t)key * 10 * MS, key, key == 3, 0));
     }
     assert_int_equal(fleet_hold_count(hold), 5);
     for (uint8_t key = 1; key <= 5; key++) {
