--- a/src/affinity/affinity_state.h
+++ b/src/affinity/affinity_state.h
@@ -15,8 +15,8 @@
     uint16_t destination_port;
 };
 
-#define AFFINITY_SUSPECT_PROBES 5  /* of a target, in a round */
-#define AFFINITY_ROUNDS_MAX     16 /* of probes without an answer */
+#define AFFINITY_SUSPECT_PROBES 5 /* of a target, in a round */
+#define AFFINITY_ROUNDS_MAX     6 /* without an answer, that may still count */
 
 /* A target of which nothing was heard since a packet was sent to it. */
 struct affinity_suspicion {
--- a/src/fleet/fleet_probe.c
+++ b/src/fleet/fleet_probe.c
@@ -83,6 +83,7 @@
     }
 }
 
+/* Look again while connections are being opened. */
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -151,6 +152,7 @@
     uv_close((uv_handle_t *)&probe->tcp, on_closed);
 }
 
+/* Free the probe of HANDLE, which is closed. */
 static void
 on_closed(uv_handle_t *handle)
 {
