Take the end of a flow as a sign of life if it acknowledges an answer

Callers of fresh flows acknowledge a one-packet answer with their FIN, which was not looked at, so each such flow ended in a probe.

--- a/src/affinity/affinity_flow.c
+++ b/src/affinity/affinity_flow.c
@@ -303,9 +303,16 @@
                             struct affinity_flow *flow,
                             const struct affinity_packet *packet)
 {
+    struct affinity_load *load = affinity_load_get(core, flow->host);
     uint64_t previous_us = flow->seen_us;
+    bool opens = flow->phase == AFFINITY_HANDSHAKE;
+    bool answered =
+        opens || (int32_t)(packet->acknowledged - flow->acknowledged) > 0;
 
     flow->seen_us = now_us;
+    if (answered && (packet->flags & AFFINITY_RST) == 0) {
+        affinity_silence_heard(core, now_us, load, previous_us);
+    }
     if ((packet->flags & (AFFINITY_FIN | AFFINITY_RST)) != 0) {
         record_answer(core, now_us, flow);
         affinity_link_remove_flow(core, flow,
@@ -313,20 +320,15 @@
         affinity_flow_remove(core, flow);
         return;
     }
-    if (flow->phase == AFFINITY_HANDSHAKE) {
-        struct affinity_load *load = affinity_load_get(core, flow->host);
-
+    if (opens) {
         flow->phase = AFFINITY_ESTABLISHED;
         flow->acknowledged = packet->acknowledged;
+        flow->next_sequence = packet->sequence;
         load->unanswered = 0;
         load->suspect_until_us = 0;
-        flow->next_sequence = packet->sequence;
-        affinity_silence_heard(core, now_us, load, previous_us);
     }
-    else if ((int32_t)(packet->acknowledged - flow->acknowledged) > 0) {
+    else if (answered) {
         flow->acknowledged = packet->acknowledged;
-        affinity_silence_heard(
-            core, now_us, affinity_load_get(core, flow->host), previous_us);
         record_answer(core, now_us, flow);
     }
     if (packet->payload > 0) {
--- a/tests/unit/test_affinity_silence.c
+++ b/tests/unit/test_affinity_silence.c
@@ -31,6 +31,7 @@
 static void test_unknown_flow_of_dead_target(void **);
 static void test_moved_flows_reveal_dead_target(void **);
 static void test_slow_target_keeps_flows(void **);
+static void test_end_of_flow_acknowledges_answer(void **);
 static void test_late_acknowledgement(void **);
 static void test_zone_out_of_reach(void **);
 static void test_silent_target_answers_again(void **);
@@ -198,6 +199,27 @@
     free_fixture(&silence.fixture);
 }
 
+/* A caller may acknowledge the answer with the packet that ends its flow. */
+static void
+test_end_of_flow_acknowledges_answer(void **state)
+{
+    struct silence silence = open_flows();
+    struct affinity_fixture *fixture = &silence.fixture;
+    struct affinity_probe probes[64];
+
+    (void)state;
+    send_packet(fixture, 1, AFFINITY_ACK, silence.cookies[1], 2, 10);
+    fixture->now_us += 20000;
+    send_packet(fixture, 1, AFFINITY_ACK | AFFINITY_FIN, silence.cookies[1], 3,
+                0);
+    fixture->now_us += SECOND;
+    assert_int_equal(affinity_core_due_probes(fixture->core, fixture->now_us,
+                                              fixture->catalog_fixture.catalog,
+                                              probes, G_N_ELEMENTS(probes)),
+                     0);
+    free_fixture(fixture);
+}
+
 /* The acknowledgement of an answer from before, on a flow that was idle since,
  * is no sign of life: the first one may have been lost. */
 static void
@@ -276,6 +298,7 @@
         cmocka_unit_test(test_unknown_flow_of_dead_target),
         cmocka_unit_test(test_moved_flows_reveal_dead_target),
         cmocka_unit_test(test_slow_target_keeps_flows),
+        cmocka_unit_test(test_end_of_flow_acknowledges_answer),
         cmocka_unit_test(test_late_acknowledgement),
         cmocka_unit_test(test_zone_out_of_reach),
         cmocka_unit_test(test_silent_target_answers_again),
