--- a/src/affinity/affinity_place.c
+++ b/src/affinity/affinity_place.c
@@ -185,8 +185,8 @@
  * Return the cost of a new flow on TARGET, in requests in progress per slot:
  * those in progress, those expected from long-lived flows, and a penalty if
  * the target has recently been slower than POOL_MEDIAN_ANSWER_US, its pool's
- * median, which some slow targets do not raise.  Long-lived flows are distributed evenly, mostly regardless of the
- * requests in progress.
+ * median, which some slow targets do not raise.  Long-lived flows are
+ * distributed evenly, mostly regardless of the requests in progress.
  */
 static double
 target_cost(struct affinity_core *core, uint64_t now_us,
