--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -202,7 +202,7 @@
         self.alive = True
         self.flows = {}
         self.ran = {}
-        self.acked = {}  # status of the last check-in
+        self.checked_in = False
         self.drain_acked = None
         self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.udp.bind((self.ip, self.port))
@@ -246,6 +246,7 @@
             self.fleet.record.add("host %d: check-in %s seq %d at %s -> %d" % (
                 self.index, self.state, self.seq, daemon.name, status))
             if 200 <= status < 300:
+                self.checked_in = True
                 return True
         return False
 
