--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -15,19 +15,39 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
-import tomllib
+import traceback
 import zlib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
-NET = 20 + os.getpid() % 200  # second number of all addresses of this run
 DATAGRAM_PORT = 8172
 READY_PORT = 8167
 CALLS_PORT = 8166
 INNER_PORTS = [7720, 7735]
+
+
+def pick_net():
+    """A second number for all addresses of this run whose ports are free."""
+    first = os.getpid() % 200
+    for step in range(200):
+        net = 20 + (first + step) % 200
+        try:
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as packets:
+                packets.bind(("127.%d.8.1" % net, DATAGRAM_PORT))
+                with socket.socket(socket.AF_INET,
+                                   socket.SOCK_STREAM) as inner:
+                    inner.bind(("127.%d.5.1" % net, INNER_PORTS[0]))
+            return net
+        except OSError:
+            continue
+    return 20 + first  # taken: the case cannot run
+
+
+NET = pick_net()
 HEARTBEAT_S = 0.77
 CALL_TIMEOUT_S = 1.0
 SYN, BOUNCED, FIN, ACK, RST = 1, 4, 16, 32, 128
@@ -464,14 +484,24 @@
         flow.reset_by = ("system" if own else "host", time.monotonic())
 
 
+def read_commands():
+    """The words of `run` of each role in the deploy file."""
+    commands = {}
+    role = None
+    with open(os.path.join(ROOT, "deploy/system.toml")) as file:
+        for line in file:
+            if line.startswith("[roles."):
+                role = line.strip()[len("[roles."):-1]
+            elif line.startswith("run = ") and role is not None:
+                commands[role] = line.split("=", 1)[1].strip().strip('"').split()
+    return commands
+
+
 class Fleet:
     """The daemons and all stand-ins."""
 
     def __init__(self, folder, record, zones=("accra-a", "accra-b", "tema-a", "tema-b")):
-        with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
-            roles = tomllib.load(file)["roles"]
-        self.commands = {name: role["run"].split()
-                         for name, role in roles.items()}
+        self.commands = read_commands()
         self.folder, self.record, self.zones = folder, record, zones
         self.bounds = {
             "seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 4000,
@@ -632,11 +662,17 @@
     record = Record(os.path.join(folder, "record.txt"))
     record.add("TROUBLE=%d" % trouble)
     scratch = tempfile.mkdtemp(prefix="review-")
-    fleet = Fleet(scratch, record)
+    fleet = None
+    status = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
+        fleet = Fleet(scratch, record)
         status = play(fleet, trouble)
+    except Exception:  # the case could not run
+        record.add(traceback.format_exc())
     finally:
-        fleet.stop()
+        if fleet is not None:
+            fleet.stop()
         if os.environ.get("KEEP") == "1":
             print("kept", scratch)
         else:
