Log tables that come in force, and the pool of a refused announcement

The logs could not tell three hypotheses apart: a daemon whose catalog lags behind the tables, tables without the pool, and a pool that the tables hold under another id than the announcement's. A refusal said only "no tables name the pool".

Change: the line "pool-unknown" names target, pool id, version and revision; "tables-in-force" (at a control daemon) and the metric routes_without_pool tell how many routes in force lead to a pool that no tables name. Tables with such a route are refused, so it is above 0 only by a fault of the program.

--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -12,6 +12,7 @@
                            const struct catalog_target *);
 static void index_target(struct catalog *, struct catalog_target *);
 static void unindex_target(struct catalog *, const struct catalog_target *);
+static bool lacks_pool(const struct catalog *, const struct catalog_route *);
 
 /* Return an empty catalog at revision 0; catalog_free() frees it. */
 struct catalog *
@@ -364,6 +365,39 @@
     return count;
 }
 
+/* Return true if a pool of ROUTE is in no tables so far. */
+static bool
+lacks_pool(const struct catalog *catalog, const struct catalog_route *route)
+{
+    for (size_t i = 0; i < route->split_count; i++) {
+        if (!catalog_has_pool(catalog, route->splits[i].pool)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Return the number of routes in force to a pool that no tables name.  Tables
+ * with such a route are refused, so any number but 0 is a fault of this
+ * program: the targets of these routes are refused, too.
+ */
+size_t
+catalog_routes_without_pool(const struct catalog *catalog)
+{
+    GHashTableIter iter;
+    gpointer key, value;
+    size_t count = 0;
+
+    g_hash_table_iter_init(&iter, catalog->routes);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct catalog_route *route = value;
+
+        count += !route->removed && lacks_pool(catalog, route) ? 1 : 0;
+    }
+    return count;
+}
+
 /* Return all targets, sorted by host; the array belongs to CATALOG. */
 const GPtrArray *
 catalog_targets(const struct catalog *catalog)
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -200,6 +200,7 @@
 const struct catalog_target *catalog_find_cookie(const struct catalog *,
                                                  uint32_t cookie);
 size_t catalog_route_count(const struct catalog *);
+size_t catalog_routes_without_pool(const struct catalog *);
 const GPtrArray *catalog_targets(const struct catalog *);
 
 bool catalog_announce_is_new(const struct catalog *,
--- a/src/fleet/fleet_calls.c
+++ b/src/fleet/fleet_calls.c
@@ -14,6 +14,8 @@
 static void handle_read(struct fleet *, const struct http_request *);
 static void reject(struct fleet *, const struct http_request *,
                    unsigned status, const char *fault);
+static void reject_unknown_pool(struct fleet *, const struct http_request *,
+                                const struct catalog_target *);
 
 /* Answer one call, at once or when its outcome is known. */
 void
@@ -72,6 +74,24 @@
     g_free(text);
 }
 
+/* Refuse the announcement TARGET, whose pool is in no tables, and log what it
+ * was compared with. */
+static void
+reject_unknown_pool(struct fleet *fleet, const struct http_request *request,
+                    const struct catalog_target *target)
+{
+    fleet->control->calls[FLEET_CALL_BAD]++;
+    fleet_log_line(
+        fleet->log, FLEET_LOG_FAILURE, clock_boottime_us(), "pool-unknown",
+        "\"target\":\"%" G_GINT64_MODIFIER "x\",\"pool\":\"%" G_GINT64_MODIFIER
+        "x\",\"version\":%" G_GUINT64_FORMAT
+        ",\"revision\":%" G_GUINT64_FORMAT,
+        target->host, target->pool.value, catalog_version(fleet->catalog),
+        catalog_revision(fleet->catalog));
+    reject(fleet, request, 400,
+           "no tables name the pool; send tables with it first");
+}
+
 /*
  * Handle a target's announcement.  One that changes the catalog is answered
  * once the change is committed.  One that changes nothing only shows that the
@@ -95,9 +115,7 @@
     }
     if (catalog_version(fleet->catalog) != 0 &&
         !catalog_has_pool(fleet->catalog, target->pool)) {
-        fleet->control->calls[FLEET_CALL_BAD]++;
-        reject(fleet, request, 400,
-               "no tables name the pool; send tables with it first");
+        reject_unknown_pool(fleet, request, target);
         return;
     }
     fleet_announcement_received(fleet, target->host);
--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -221,6 +221,8 @@
          "counter", (double)control->targets_failing},
         {"zone_orders_total", "Orders to empty or restore a zone.", "counter",
          (double)control->calls[FLEET_CALL_ZONE]},
+        {"routes_without_pool", "Routes to a pool that no tables name.",
+         "gauge", (double)catalog_routes_without_pool(fleet->catalog)},
         {"zones_emptied", "Zones whose targets get no new flows.", "gauge",
          (double)catalog_emptied_count(fleet->catalog)},
         {"reads_total", "Reads of the tables.", "counter",
--- a/src/fleet/fleet_entry_metrics.c
+++ b/src/fleet/fleet_entry_metrics.c
@@ -53,6 +53,8 @@
          "gauge", (double)affinity_core_pending_upload_bytes(entry->affinity)},
         {"shaped_wait_max_ms", "Longest wait for the link.", "gauge",
          (double)shape_counters(entry->shape)->max_wait_us / 1000},
+        {"routes_without_pool", "Routes to a pool that no tables name.",
+         "gauge", (double)catalog_routes_without_pool(fleet->catalog)},
         {"zones_emptied", "Zones whose targets get no new flows.", "gauge",
          (double)catalog_emptied_count(fleet->catalog)},
         {"hedged_total", "Openings given to a second target.", "counter",
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -22,6 +22,7 @@
 
 static void step_core(struct fleet *, const struct quorum_event *);
 static void run_action(struct fleet *, const struct quorum_action *);
+static void log_tables(struct fleet *);
 static void apply_entry(struct fleet *, const struct quorum_entry *);
 static enum fleet_recipients recipients_for(enum quorum_message_kind);
 static void send_message(struct fleet *, const struct quorum_action *);
@@ -352,6 +353,19 @@
     }
 }
 
+/* Log the tables that have come in force. */
+static void
+log_tables(struct fleet *fleet)
+{
+    fleet_log_line(
+        fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "tables-in-force",
+        "\"version\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT
+        ",\"routes\":%zu,\"routes_without_pool\":%zu",
+        catalog_version(fleet->catalog), catalog_revision(fleet->catalog),
+        catalog_route_count(fleet->catalog),
+        catalog_routes_without_pool(fleet->catalog));
+}
+
 /* Apply a committed entry, and finish the request if it was proposed here. */
 static void
 apply_entry(struct fleet *fleet, const struct quorum_entry *entry)
@@ -374,6 +388,9 @@
         if (change.zones) {
             fleet_zone_applied(fleet, &command.u.zone);
         }
+        if (change.tables) {
+            log_tables(fleet);
+        }
         catalog_command_clear(&command);
     }
     if (change.voters) {
