Keep names of pools whole, and read a pool under its stored id

What callers saw: a service whose name has 64 bytes or more is acknowledged and never served.

Cause: struct catalog_pool kept the name in 64 bytes, cut without a word, and read_tables() computed the pool's id again from the cut name when a committed entry was read from the log. The routes of the same entry kept the id of the whole name, so they led to a pool that no daemon knew.

Change: the name is a string of its own, whole in the catalog, in the log and in updates; a row of the log is read under the id that it was written with. Why this works: the id is computed once, from the whole name, where the tables are decoded; what is stored and sent carries it along.

--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -6,6 +6,9 @@
 #include "base/hash.h"
 #include "catalog/catalog_state.h"
 
+static GHashTable *new_pool_table(void);
+static void free_pool(gpointer);
+static void put_pool(GHashTable *, uint64_t id, const struct catalog_pool *);
 static gint compare_hosts(gconstpointer, gconstpointer);
 static guint sorted_position(const struct catalog *, uint64_t host);
 static bool has_precedence(const struct catalog_target *,
@@ -14,14 +17,41 @@
 static void unindex_target(struct catalog *, const struct catalog_target *);
 static bool lacks_pool(const struct catalog *, const struct catalog_route *);
 
+/* Return an empty table of pools by id, which owns its rows. */
+static GHashTable *
+new_pool_table(void)
+{
+    return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                 free_pool);
+}
+
+/* Free a row of a table of pools. */
+static void
+free_pool(gpointer data)
+{
+    struct catalog_pool *pool = data;
+
+    g_free(pool->name);
+    g_free(pool);
+}
+
+/* Add a copy of POOL with ID to POOLS, or replace the row with that id. */
+static void
+put_pool(GHashTable *pools, uint64_t id, const struct catalog_pool *pool)
+{
+    struct catalog_pool *own = g_memdup2(pool, sizeof(*pool));
+
+    own->name = g_strdup(pool->name);
+    g_hash_table_replace(pools, g_memdup2(&id, sizeof(id)), own);
+}
+
 /* Return an empty catalog at revision 0; catalog_free() frees it. */
 struct catalog *
 catalog_new(void)
 {
     struct catalog *catalog = g_new0(struct catalog, 1);
 
-    catalog->pools =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    catalog->pools = new_pool_table();
     catalog->routes =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     catalog->targets =
@@ -148,8 +178,7 @@
 catalog_put_pool(struct catalog *catalog, uint64_t id,
                  const struct catalog_pool *pool)
 {
-    g_hash_table_replace(catalog->pools, g_memdup2(&id, sizeof(id)),
-                         g_memdup2(pool, sizeof(*pool)));
+    put_pool(catalog->pools, id, pool);
 }
 
 /* Compare the hosts of two targets, for sorting an array of pointers. */
@@ -411,8 +440,7 @@
 {
     memset(tables, 0, sizeof(*tables));
     tables->routes = g_array_new(FALSE, TRUE, sizeof(struct catalog_route));
-    tables->pools =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    tables->pools = new_pool_table();
 }
 
 /* Add the pool NAME, which routes may use, to TABLES; its cold targets bear
@@ -421,12 +449,19 @@
 catalog_tables_add_pool(struct catalog_tables *tables, const char *name,
                         double cold_per_s)
 {
-    uint64_t id = view_pool_id(name).value;
-    struct catalog_pool pool = {.cold_per_s = cold_per_s};
+    struct catalog_pool pool = {.name = g_strdup(name),
+                                .cold_per_s = cold_per_s};
 
-    g_strlcpy(pool.name, name, sizeof(pool.name));
-    g_hash_table_replace(tables->pools, g_memdup2(&id, sizeof(id)),
-                         g_memdup2(&pool, sizeof(pool)));
+    catalog_tables_put_pool(tables, view_pool_id(name), &pool);
+    g_free(pool.name);
+}
+
+/* Add a copy of POOL to TABLES, under the ID by which the routes name it. */
+void
+catalog_tables_put_pool(struct catalog_tables *tables, struct pool_id id,
+                        const struct catalog_pool *pool)
+{
+    put_pool(tables->pools, id.value, pool);
 }
 
 /* Free the members of TABLES and set them to 0. */
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -110,9 +110,9 @@
     uint32_t owners[CATALOG_OWNERS_MAX];
 };
 
-/* A pool of the operator's tables. */
+/* A pool of the operator's tables.  The tables set no limit to a name. */
 struct catalog_pool {
-    char name[VIEW_NAME_MAX];
+    char *name;
     /* Requests a second that a cold target bears; below 0 if not limited. */
     double cold_per_s;
 };
@@ -222,5 +222,7 @@
 void catalog_tables_clear(struct catalog_tables *);
 void catalog_tables_add_pool(struct catalog_tables *, const char *name,
                              double cold_per_s);
+void catalog_tables_put_pool(struct catalog_tables *, struct pool_id,
+                             const struct catalog_pool *);
 
 #endif
--- a/src/peer/catalog_wire.c
+++ b/src/peer/catalog_wire.c
@@ -186,13 +186,13 @@
     row->cold_per_s = row->cold_limited ? pool->cold_per_s : 0;
 }
 
-/* Set POOL from ROW. */
+/* Set POOL from ROW, which keeps the name. */
 void
 catalog_wire_read_pool(const Parsleyspur__CatalogPool *row,
                        struct catalog_pool *pool)
 {
     memset(pool, 0, sizeof(*pool));
-    g_strlcpy(pool->name, row->name, sizeof(pool->name));
+    pool->name = row->name;
     pool->cold_per_s = row->cold_limited ? row->cold_per_s : -1;
 }
 
@@ -381,10 +381,11 @@
         g_array_append_val(tables->routes, route);
     }
     for (size_t i = 0; i < update->n_pools; i++) {
+        struct pool_id id = {update->pools[i]->id};
         struct catalog_pool pool;
 
         catalog_wire_read_pool(update->pools[i], &pool);
-        catalog_tables_add_pool(tables, pool.name, pool.cold_per_s);
+        catalog_tables_put_pool(tables, id, &pool);
     }
     return true;
 }
--- a/tests/script/fleet.sh
+++ b/tests/script/fleet.sh
@@ -134,7 +134,7 @@
     for n in $(seq "$1"); do
         service=feeds
         [ $((n % 3)) -eq 0 ] && service=books
-        side host "$n" $service "z$(((n - 1) % 3 + 1))" "127.$B.7.$n:8283" \
+        side host "$n" "${SERVICE_PREFIX:-}$service" "z$(((n - 1) % 3 + 1))" "127.$B.7.$n:8283" \
             >/dev/null
     done
 }
--- a/tests/script/fleet_operator.py
+++ b/tests/script/fleet_operator.py
@@ -8,6 +8,7 @@
 platform does: a call without a clear answer is sent again, unchanged.
 """
 import json
+import os
 import sys
 import time
 import urllib.error
@@ -20,6 +21,8 @@
 # Ports 81 and on; what follows them sees no traffic.
 ZONE_CALLS = {"empty": "/v1/Evacuation.Begin/",
               "restore": "/v1/Evacuation.Finish/"}
+# Before the names of both services; longer than any name of a host in DNS.
+PREFIX = os.environ.get("SERVICE_PREFIX", "")
 KINDS = ["non_idempotent", "non_idempotent", "download", "upload",
          "idempotent"]
 
@@ -35,15 +38,15 @@
             "timeout_ms": 1000,
             "target_latency_ms": 100,
             "priority": 1,
-            "service": "books" if n == 1 else "feeds",
+            "service": PREFIX + ("books" if n == 1 else "feeds"),
         }
         for n in range(2 + extra)
     ]
     return {
         "version": version,
         "routes": routes,
-        "services": [{"name": "feeds", "warmup_per_s": 10.0},
-                     {"name": "books"}],
+        "services": [{"name": PREFIX + "feeds", "warmup_per_s": 10.0},
+                     {"name": PREFIX + "books"}],
         "limits": {"idle_timeout_ms": 15000},
     }
 
--- a/tests/stand-ins/cookie_side.c
+++ b/tests/stand-ins/cookie_side.c
@@ -79,10 +79,10 @@
 {
     struct side *side = arg;
     unsigned number;
-    char service[32], zone[32], address[32];
+    char service[SIDE_NAME_MAX], zone[SIDE_NAME_MAX], address[32];
     struct side_host *host = find_host(side, rest);
 
-    if (sscanf(rest, "%u %31s %31s %31s", &number, service, zone, address) !=
+    if (sscanf(rest, "%u %255s %255s %31s", &number, service, zone, address) !=
         4) {
         g_string_append(reply, "bad");
         return;
--- a/tests/stand-ins/cookie_side.h
+++ b/tests/stand-ins/cookie_side.h
@@ -16,6 +16,7 @@
 #define SIDE_ENTRIES_MAX  16
 #define SIDE_CONTROLS_MAX 8
 #define SIDE_HOSTS_MAX    32
+#define SIDE_NAME_MAX     256 /* bytes of a name in DNS with its NUL */
 
 /* What was found broken, and how much was done. */
 struct side_counts {
@@ -45,8 +46,8 @@
     uint64_t id;
     uint64_t born;
     uint64_t sequence;
-    char service[32];
-    char zone[32];
+    char service[SIDE_NAME_MAX];
+    char zone[SIDE_NAME_MAX];
     struct net_address address;
     struct net_udp udp;
     bool alive;
--- a/tests/stand-ins/lib_cookie_packet.c
+++ b/tests/stand-ins/lib_cookie_packet.c
@@ -138,7 +138,7 @@
         bool books = packet.destination_port % 2 == 0;
 
         side->counts.wrong_pool +=
-            books != (strcmp(host->service, "books") == 0) ? 1 : 0;
+            books != g_str_has_suffix(host->service, "books") ? 1 : 0;
         side->counts.drained +=
             host->drain_acked_ms != 0 &&
                     net_now_ms() - host->drain_acked_ms > side->drain_ms
--- a/tests/unit/catalog_fixture.h
+++ b/tests/unit/catalog_fixture.h
@@ -23,10 +23,10 @@
                   &fixture->change);
 }
 
-/* Put tables of VERSION in force: COUNT routes to POOL, at ports from 1. */
-static inline void
-replace(struct catalog_fixture *fixture, uint64_t version, const char *pool,
-        unsigned count)
+/* Return a command with tables of VERSION: COUNT routes to POOL, at ports from
+ * 1.  The caller clears it. */
+static inline struct catalog_command
+make_tables(uint64_t version, const char *pool, unsigned count)
 {
     struct catalog_command command;
     char *document = g_strdup_printf("version %u", (unsigned)version);
@@ -50,6 +50,16 @@
         route.splits[0].weight = 1;
         g_array_append_val(command.u.tables.routes, route);
     }
+    return command;
+}
+
+/* Put tables of VERSION in force: COUNT routes to POOL, at ports from 1. */
+static inline void
+replace(struct catalog_fixture *fixture, uint64_t version, const char *pool,
+        unsigned count)
+{
+    struct catalog_command command = make_tables(version, pool, count);
+
     apply(fixture, &command);
     catalog_command_clear(&command);
 }
--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -20,6 +20,7 @@
 static void test_snapshot_keeps_removed_rows(void **);
 static void test_command_round_trip(void **);
 static void test_equal_cookies(void **);
+static void test_long_pool_names_keep_their_ids(void **);
 
 /* Return a catalog with tables of version 5: three routes to one pool. */
 static struct catalog_fixture
@@ -322,6 +323,52 @@
     catalog_free(fixture.catalog);
 }
 
+/* Assert that CATALOG has POOL under its id and by its whole name. */
+static void
+assert_has_pool(const struct catalog *catalog, const char *pool)
+{
+    assert_true(catalog_has_pool(catalog, view_pool_id(pool)));
+    assert_string_equal(catalog_pool_name(catalog, view_pool_id(pool)), pool);
+    assert_int_equal(catalog_routes_without_pool(catalog), 0);
+}
+
+/*
+ * The targets of a pool with a long name were refused: the pool's id was
+ * computed again from a cut name when the tables were read from the log.
+ */
+static void
+test_long_pool_names_keep_their_ids(void **state)
+{
+    static const char *const pools[] = {
+        "permit-desk.gh-south.volta-shedline-permits-franchise-office.example",
+        "permit-desk.gh-south.volta-shedline-permits-franchise-office."
+        "exampl2"};
+    struct catalog_fixture fixture = {.catalog = catalog_new()};
+    struct catalog *replica = catalog_new();
+    GByteArray *update = g_byte_array_new();
+
+    (void)state;
+    for (size_t i = 0; i < G_N_ELEMENTS(pools); i++) {
+        struct catalog_command sent = make_tables(i + 1, pools[i], 1), stored;
+        GByteArray *bytes = g_byte_array_new();
+
+        catalog_wire_pack(&sent, bytes);
+        assert_true(catalog_wire_unpack(bytes->data, bytes->len, &stored));
+        apply(&fixture, &stored);
+        assert_has_pool(fixture.catalog, pools[i]);
+        catalog_command_clear(&sent);
+        catalog_command_clear(&stored);
+        g_byte_array_unref(bytes);
+    }
+    catalog_pack_update(fixture.catalog, 0, CATALOG_COMPLETE, update);
+    merge(replica, update, true);
+    assert_has_pool(replica, pools[0]);
+    assert_has_pool(replica, pools[1]);
+    g_byte_array_unref(update);
+    catalog_free(replica);
+    catalog_free(fixture.catalog);
+}
+
 int
 main(void)
 {
@@ -337,6 +384,7 @@
         cmocka_unit_test(test_snapshot_keeps_removed_rows),
         cmocka_unit_test(test_command_round_trip),
         cmocka_unit_test(test_equal_cookies),
+        cmocka_unit_test(test_long_pool_names_keep_their_ids),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
