Take orders for zones with names of any length

What callers saw: an order to empty or to restore a zone whose name has 64 bytes or more is refused with 400 by every control daemon, each time that it is sent again, though the zone is one of the settings.

Change: the name is a string of its own in the call, the command, the row and the replica. Why this works: no length is left on the way, and the id is that of the whole name everywhere. The log line zone-order quotes the name and cuts it after 128 bytes; the cut of target-missing uses the same function.

The unit tests test_long_zone_names_stay_apart and the long name in test_zone_orders came with the change and were not run on the code before.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -9,7 +9,8 @@
 
 #include <jansson.h>
 
-#define FIELDS_MAX 16
+#define FIELDS_MAX     16
+#define NAME_BYTES_MAX 128 /* of a name in a line */
 
 static enum log_format format;
 static const char *daemon_name;
@@ -172,6 +173,20 @@
     g_log_structured_array(level, fields, count);
 }
 
+/*
+ * NAME as a JSON string with its quotes, cut after NAME_BYTES_MAX so that it
+ * leaves room in a line; the caller frees it.
+ */
+char *
+log_json_name(const char *name)
+{
+    char *start = g_strndup(name, NAME_BYTES_MAX);
+    char *quoted = log_json_text(start);
+
+    g_free(start);
+    return quoted;
+}
+
 /* TEXT as a JSON string with its quotes; the caller frees it. */
 char *
 log_json_text(const char *text)
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -21,6 +21,7 @@
 
 char *log_time_text(void);
 char *log_json_text(const char *);
+char *log_json_name(const char *);
 char *log_json_members(const GLogField *, gsize count);
 
 #endif
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -9,6 +9,7 @@
 static GHashTable *new_pool_table(void);
 static void free_pool(gpointer);
 static void put_pool(GHashTable *, uint64_t id, const struct catalog_pool *);
+static void clear_zone(gpointer);
 static gint compare_hosts(gconstpointer, gconstpointer);
 static guint sorted_position(const struct catalog *, uint64_t host);
 static bool has_precedence(const struct catalog_target *,
@@ -45,6 +46,15 @@
     g_hash_table_replace(pools, g_memdup2(&id, sizeof(id)), own);
 }
 
+/* Free the members of a row of the zones. */
+static void
+clear_zone(gpointer data)
+{
+    struct catalog_zone *zone = data;
+
+    g_free(zone->name);
+}
+
 /* Return an empty catalog at revision 0; catalog_free() frees it. */
 struct catalog *
 catalog_new(void)
@@ -61,6 +71,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     catalog->sorted_targets = g_ptr_array_new();
     catalog->zones = g_array_new(FALSE, FALSE, sizeof(struct catalog_zone));
+    g_array_set_clear_func(catalog->zones, clear_zone);
     return catalog;
 }
 
@@ -484,7 +495,19 @@
 void
 catalog_command_clear(struct catalog_command *command)
 {
-    if (command->kind == CATALOG_REPLACE) {
+    switch (command->kind) {
+    case CATALOG_REPLACE:
         catalog_tables_clear(&command->u.tables);
+        break;
+    case CATALOG_ZONE:
+        g_free(command->u.zone.zone.name);
+        command->u.zone.zone.name = NULL;
+        break;
+    case CATALOG_ANNOUNCE:
+    case CATALOG_LEAVE:
+    case CATALOG_PRESENCE:
+    case CATALOG_VOTER:
+    case CATALOG_COMMAND__MAX:
+        break;
     }
 }
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -91,7 +91,7 @@
 /* An availability zone for which an operator has given an order. */
 struct catalog_zone {
     uint32_t zone; /* hash of its name */
-    char name[VIEW_NAME_MAX];
+    char *name;
     bool emptied;       /* its targets get no new flows */
     int64_t ordered_ms; /* Unix time of the order in force */
     uint64_t revision;
--- a/src/catalog/catalog_zone.c
+++ b/src/catalog/catalog_zone.c
@@ -67,12 +67,15 @@
 catalog_put_zone(struct catalog *catalog, const struct catalog_zone *zone)
 {
     struct catalog_zone *row = find_row(catalog, zone->zone);
+    struct catalog_zone own = *zone;
 
+    own.name = g_strdup(zone->name);
     if (row != NULL) {
-        *row = *zone;
+        g_free(row->name);
+        *row = own;
         return;
     }
-    g_array_append_vals(catalog->zones, zone, 1);
+    g_array_append_val(catalog->zones, own);
 }
 
 /*
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -44,8 +44,21 @@
 void
 fleet_call_clear(struct fleet_call *call)
 {
-    if (call->kind == FLEET_CALL_REPLACE) {
+    switch (call->kind) {
+    case FLEET_CALL_REPLACE:
         catalog_tables_clear(&call->u.tables);
+        break;
+    case FLEET_CALL_ZONE:
+        g_free(call->u.zone.name);
+        break;
+    case FLEET_CALL_READY:
+    case FLEET_CALL_ANNOUNCE:
+    case FLEET_CALL_LEAVE:
+    case FLEET_CALL_READ:
+    case FLEET_CALL_BAD:
+    case FLEET_CALL_UNKNOWN:
+    case FLEET_CALL__MAX:
+        break;
     }
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -60,7 +60,7 @@
         struct catalog_target target; /* ANNOUNCE, LEAVE */
         struct catalog_tables tables; /* REPLACE */
         struct {
-            char name[VIEW_NAME_MAX];
+            char *name;
             bool empty;  /* else restore */
         } zone;          /* ZONE */
         char fault[256]; /* BAD: what is wrong, and the remedy */
--- a/src/fleet/fleet_announcement.c
+++ b/src/fleet/fleet_announcement.c
@@ -11,7 +11,6 @@
 #define REPORT_INTERVAL_US 200000U
 #define MISSING_INTERVALS  2.5     /* announcements that may be lost */
 #define REPORT_DELAY_US    500000U /* for announcements to reach the leader */
-#define LOGGED_NAME_BYTES  128     /* a longer name is cut in a log line */
 
 static void set_last_announced(struct fleet *, uint64_t host, uint64_t now_us);
 static void report_to_leader(struct fleet *);
@@ -109,9 +108,8 @@
     struct catalog_command command = {.kind = CATALOG_PRESENCE};
     struct fleet_requester requester = {.kind = FLEET_REQUESTER_NONE,
                                         .what = "presence"};
-    char *name = g_strndup(catalog_pool_name(fleet->catalog, target->pool),
-                           LOGGED_NAME_BYTES);
-    char *pool = log_json_text(name);
+    char *pool =
+        log_json_name(catalog_pool_name(fleet->catalog, target->pool));
 
     command.u.target.host = target->host;
     command.u.target.incarnation = target->incarnation;
@@ -121,7 +119,6 @@
                    "\"target\":\"%" G_GINT64_MODIFIER "x\",\"pool\":%s",
                    target->host, pool);
     g_free(pool);
-    g_free(name);
     fleet_request_command(fleet, &command, &requester);
 }
 
--- a/src/fleet/fleet_zone.c
+++ b/src/fleet/fleet_zone.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/hash.h"
+#include "base/log.h"
 #include "fleet/fleet_control_private.h"
 
 /*
@@ -149,16 +150,17 @@
 fleet_zone_applied(struct fleet *fleet, const struct catalog_zone_order *order)
 {
     uint64_t now_us = clock_boottime_us();
+    char *name = log_json_name(order->zone.name);
 
     if (!order->zone.emptied) {
         fleet->control->restore_hold_until_us = now_us + RESTORE_HOLD_US;
     }
     fleet_log_line(fleet->log, FLEET_LOG_STATE, now_us, "zone-order",
-                   "\"zone\":\"%s\",\"emptied\":%s,\"base\":%" G_GUINT64_FORMAT
+                   "\"zone\":%s,\"emptied\":%s,\"base\":%" G_GUINT64_FORMAT
                    ",\"revision\":%" G_GUINT64_FORMAT ",\"owners\":%zu",
-                   order->zone.name, order->zone.emptied ? "true" : "false",
-                   order->base, catalog_revision(fleet->catalog),
-                   order->owner_count);
+                   name, order->zone.emptied ? "true" : "false", order->base,
+                   catalog_revision(fleet->catalog), order->owner_count);
+    g_free(name);
 }
 
 /* Answer an order for a zone that is not known here: it may be that of targets
@@ -205,7 +207,7 @@
         return;
     }
     order->zone.zone = view_zone_id(name);
-    g_strlcpy(order->zone.name, name, sizeof(order->zone.name));
+    order->zone.name = g_strdup(name);
     order->zone.emptied = empty;
     order->zone.ordered_ms = g_get_real_time() / 1000;
     row = catalog_find_zone(fleet->catalog, order->zone.zone);
@@ -217,4 +219,5 @@
     }
     requester.u.http = http->handle;
     fleet_request_command(fleet, &command, &requester);
+    catalog_command_clear(&command);
 }
--- a/src/peer/catalog_wire.c
+++ b/src/peer/catalog_wire.c
@@ -207,14 +207,14 @@
     row->revision = zone->revision;
 }
 
-/* Set ZONE from ROW. */
+/* Set ZONE from ROW, which keeps the name. */
 void
 catalog_wire_read_zone(const Parsleyspur__CatalogZone *row,
                        struct catalog_zone *zone)
 {
     memset(zone, 0, sizeof(*zone));
     zone->zone = view_zone_id(row->name);
-    g_strlcpy(zone->name, row->name, sizeof(zone->name));
+    zone->name = row->name;
     zone->emptied = row->emptied;
     zone->ordered_ms = row->ordered_ms;
     zone->revision = row->revision;
@@ -258,6 +258,7 @@
         return false;
     }
     catalog_wire_read_zone(message->zone, &order->zone);
+    order->zone.name = g_strdup(message->zone->name);
     order->base = message->row_revision;
     order->cold_ms = message->cold_ms;
     order->owner_count = message->n_owners;
--- a/tests/script/fleet.sh
+++ b/tests/script/fleet.sh
@@ -36,7 +36,7 @@
         mkdir -p "$RUN_DIR/data/$name"
     fi
     cat >"$RUN_DIR/$name.json.new" <<END
-{"node_name":"$name","ip":"$ip","zone":"z$(((number - 1) % 3 + 1))",
+{"node_name":"$name","ip":"$ip","zone":"${ZONE_PREFIX:-}z$(((number - 1) % 3 + 1))",
 "listen":{$listen},"internal_ports":[$INNER_PORT,$((INNER_PORT + 15))],
 "seeds":[$seeds],"bootstrap":$first,"data_dir":$data,"heartbeat_ms":300,
 "limits":{"link_mbps":1000},"fault_tolerance":{"machines":1},
@@ -115,7 +115,7 @@
 
 zone() { # empty|restore ZONE
     # shellcheck disable=SC2046
-    python3 "$ROOT/tests/script/fleet_operator.py" "$1" "$2" \
+    python3 "$ROOT/tests/script/fleet_operator.py" "$1" "${ZONE_PREFIX:-}$2" \
         $(control_addresses)
 }
 
@@ -134,8 +134,8 @@
     for n in $(seq "$1"); do
         service=feeds
         [ $((n % 3)) -eq 0 ] && service=books
-        side host "$n" "${SERVICE_PREFIX:-}$service" "z$(((n - 1) % 3 + 1))" "127.$B.7.$n:8283" \
-            >/dev/null
+        side host "$n" "${SERVICE_PREFIX:-}$service" \
+            "${ZONE_PREFIX:-}z$(((n - 1) % 3 + 1))" "127.$B.7.$n:8283" >/dev/null
     done
 }
 
--- a/tests/unit/test_catalog_zone.c
+++ b/tests/unit/test_catalog_zone.c
@@ -18,8 +18,10 @@
 static void test_update_and_snapshot(void **);
 static void test_restored_targets_are_cold(void **);
 static void test_command_round_trip(void **);
+static void test_long_zone_names_stay_apart(void **);
 
-/* Return an order for NAME given on the row that FIXTURE holds. */
+/* Return an order for NAME given on the row that FIXTURE holds.  The caller
+ * clears it. */
 static struct catalog_command
 make_order(const struct catalog_fixture *fixture, const char *name, bool empty)
 {
@@ -28,7 +30,7 @@
         catalog_find_zone(fixture->catalog, view_zone_id(name));
 
     command.u.zone.zone.zone = view_zone_id(name);
-    g_strlcpy(command.u.zone.zone.name, name, VIEW_NAME_MAX);
+    command.u.zone.zone.name = g_strdup(name);
     command.u.zone.zone.emptied = empty;
     command.u.zone.zone.ordered_ms = 1234;
     command.u.zone.base = row == NULL ? 0 : row->revision;
@@ -42,6 +44,7 @@
     struct catalog_command command = make_order(fixture, name, empty);
 
     apply(fixture, &command);
+    catalog_command_clear(&command);
 }
 
 /* Return true if NAME is emptied. */
@@ -68,6 +71,7 @@
     assert_false(fixture.change.outdated);
     assert_int_equal(catalog_changed_revision(fixture.catalog), 1);
     assert_true(is_emptied(&fixture, "suva"));
+    catalog_command_clear(&first);
     catalog_free(fixture.catalog);
 }
 
@@ -88,6 +92,7 @@
     assert_false(is_emptied(&fixture, "suva"));
     order(&fixture, "suva", true);
     assert_true(is_emptied(&fixture, "suva"));
+    catalog_command_clear(&late);
     catalog_free(fixture.catalog);
 }
 
@@ -167,6 +172,7 @@
     apply_target_command(&fixture, CATALOG_ANNOUNCE, &target);
     assert_true(fixture.change.targets);
     assert_int_equal(catalog_find_target(fixture.catalog, 1)->cold_ms, 0);
+    catalog_command_clear(&restore);
     catalog_free(fixture.catalog);
 }
 
@@ -197,10 +203,42 @@
     assert_int_equal(read.u.zone.owner_count, 2);
     assert_int_equal(read.u.zone.owners[1], 6);
     catalog_command_clear(&read);
+    catalog_command_clear(&sent);
     g_byte_array_unref(bytes);
     catalog_free(fixture.catalog);
 }
 
+/*
+ * Orders had room for 63 bytes of a zone's name: one for a zone with a longer
+ * name was refused, and names equal in these bytes could not be told apart.
+ */
+static void
+test_long_zone_names_stay_apart(void **state)
+{
+    char *prefix = g_strnfill(100, 'z');
+    char *first = g_strconcat(prefix, "1", NULL);
+    char *second = g_strconcat(prefix, "2", NULL);
+    struct catalog_fixture fixture = {.catalog = catalog_new()};
+    struct catalog_command sent = make_order(&fixture, first, true), read;
+    GByteArray *bytes = g_byte_array_new();
+
+    (void)state;
+    catalog_wire_pack(&sent, bytes);
+    assert_true(catalog_wire_unpack(bytes->data, bytes->len, &read));
+    apply(&fixture, &read);
+    assert_true(is_emptied(&fixture, first));
+    assert_false(is_emptied(&fixture, second));
+    assert_string_equal(
+        catalog_find_zone(fixture.catalog, view_zone_id(first))->name, first);
+    catalog_command_clear(&sent);
+    catalog_command_clear(&read);
+    g_byte_array_unref(bytes);
+    catalog_free(fixture.catalog);
+    g_free(first);
+    g_free(second);
+    g_free(prefix);
+}
+
 int
 main(void)
 {
@@ -211,6 +249,7 @@
         cmocka_unit_test(test_update_and_snapshot),
         cmocka_unit_test(test_restored_targets_are_cold),
         cmocka_unit_test(test_command_round_trip),
+        cmocka_unit_test(test_long_zone_names_stay_apart),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_fleet_pending.c
+++ b/tests/unit/test_fleet_pending.c
@@ -144,10 +144,10 @@
 
     (void)state;
     quorum_stored_init(&stored);
-    g_strlcpy(command.u.zone.zone.name, "suva", VIEW_NAME_MAX);
+    command.u.zone.zone.name = (char *)"suva";
     command.u.zone.zone.emptied = true;
     store_entry(&stored, 1, 1, &command);
-    g_strlcpy(command.u.zone.zone.name, "nadi", VIEW_NAME_MAX);
+    command.u.zone.zone.name = (char *)"nadi";
     command.u.zone.zone.emptied = false;
     store_entry(&stored, 2, 1, &command);
     core = quorum_core_new(&options, &stored, 1000000);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -349,14 +349,24 @@
 test_zone_orders(void **state)
 {
     struct fleet_call call = decode("POST", "/v1/Evacuation.Begin/suva", "");
+    char *name = g_strnfill(200, 'z');
+    char *path = g_strconcat("/v1/Evacuation.Begin/", name, NULL);
 
     (void)state;
     assert_int_equal(call.kind, FLEET_CALL_ZONE);
     assert_string_equal(call.u.zone.name, "suva");
     assert_true(call.u.zone.empty);
+    fleet_call_clear(&call);
+    call = decode("POST", path, "");
+    assert_int_equal(call.kind, FLEET_CALL_ZONE);
+    assert_string_equal(call.u.zone.name, name);
+    fleet_call_clear(&call);
+    g_free(path);
+    g_free(name);
     call = decode("POST", "/v1/Evacuation.Finish/suva", "");
     assert_int_equal(call.kind, FLEET_CALL_ZONE);
     assert_false(call.u.zone.empty);
+    fleet_call_clear(&call);
     call = decode("POST", "/v1/Evacuation.Begin/", "");
     assert_int_equal(call.kind, FLEET_CALL_BAD);
     call = decode("GET", "/v1/Evacuation.Begin/suva", "");
