Take routes to any number of pools

What callers saw: tables in which one route is split over more than eight pools are refused with 400, with the text of another fault, and nothing of them comes in force.

Cause: struct catalog_route kept its pools in an array of CATALOG_SPLITS_MAX = 8. The decoder, the reader of the log and catalog_merge() refused what did not fit. Ruled out: a limit that operators are told of; the list of what makes tables invalid has none.

Evidence, on the code before: test_route_to_many_pools fails with FLEET_CALL_BAD, script/fleet-many-pools ends with "tables not acknowledged".

Change: a route owns a list of pools that grows (catalog_route_add_split, catalog_route_clear); rows of the catalog hold copies. Why this works: no place on the way has a number of its own any more.

Measured: both tests pass; unit tests of catalog, zones, platform, pending, affinity and model, fleet-long-names and fleet-long-zones, too.

--- a/model/model_link.c
+++ b/model/model_link.c
@@ -424,8 +424,6 @@
         .kind = CATALOG_NON_IDEMPOTENT,
         .goal_ms = 400,
         .priority = 1,
-        .split_count = 1,
-        .splits = {{view_pool_id("desk"), 1}},
     };
     struct catalog_route upload = small;
     struct catalog_change change;
@@ -441,6 +439,8 @@
     upload.kind = CATALOG_UPLOAD;
     upload.goal_ms = 1200;
     upload.priority = 2;
+    catalog_route_add_split(&small, view_pool_id("desk"), 1);
+    catalog_route_add_split(&upload, view_pool_id("desk"), 1);
     world->catalog = catalog_new();
     catalog_tables_init(&command.u.tables);
     command.u.tables.version = 1;
--- a/model/model_run.c
+++ b/model/model_run.c
@@ -342,8 +342,7 @@
     struct catalog_route route = {.key =
                                       catalog_endpoint_key(0xc6120001U, 443),
                                   .goal_ms = GOAL_US / 1000,
-                                  .priority = 1,
-                                  .split_count = 1};
+                                  .priority = 1};
     struct catalog_change change;
 
     world->options = *options;
@@ -356,8 +355,7 @@
     catalog_tables_init(&command.u.tables);
     command.u.tables.version = 1;
     command.u.tables.document = g_bytes_new_static("", 0);
-    route.splits[0].pool = view_pool_id("desk");
-    route.splits[0].weight = 1;
+    catalog_route_add_split(&route, view_pool_id("desk"), 1);
     g_array_append_val(command.u.tables.routes, route);
     catalog_apply(world->catalog, ++world->index, &command, &change);
     catalog_command_clear(&command);
--- a/src/affinity/affinity_place.c
+++ b/src/affinity/affinity_place.c
@@ -563,7 +563,8 @@
                        const struct catalog_route *route,
                        struct affinity_verdict *verdict)
 {
-    struct affinity_pool before[CATALOG_SPLITS_MAX] = {0};
+    struct affinity_pool *before =
+        g_new0(struct affinity_pool, route->split_count);
 
     for (size_t i = 0; i < route->split_count; i++) {
         before[i] = *affinity_pool_get(core, route->splits[i].pool);
@@ -580,4 +581,5 @@
     for (size_t i = 0; i < route->split_count; i++) {
         *affinity_pool_get(core, route->splits[i].pool) = before[i];
     }
+    g_free(before);
 }
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -10,6 +10,7 @@
 static void free_pool(gpointer);
 static void put_pool(GHashTable *, uint64_t id, const struct catalog_pool *);
 static void clear_zone(gpointer);
+static void free_route(gpointer);
 static gint compare_hosts(gconstpointer, gconstpointer);
 static guint sorted_position(const struct catalog *, uint64_t host);
 static bool has_precedence(const struct catalog_target *,
@@ -55,6 +56,14 @@
     g_free(zone->name);
 }
 
+/* Free a row of the routes. */
+static void
+free_route(gpointer data)
+{
+    catalog_route_clear(data);
+    g_free(data);
+}
+
 /* Return an empty catalog at revision 0; catalog_free() frees it. */
 struct catalog *
 catalog_new(void)
@@ -63,7 +72,7 @@
 
     catalog->pools = new_pool_table();
     catalog->routes =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_route);
     catalog->targets =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     catalog->cookies = g_hash_table_new(NULL, NULL);
@@ -132,6 +141,8 @@
 {
     struct catalog_route *own = g_memdup2(route, sizeof(*route));
 
+    own->splits =
+        g_memdup2(route->splits, route->split_count * sizeof(*route->splits));
     g_hash_table_replace(catalog->routes, &own->key, own);
 }
 
@@ -445,12 +456,36 @@
     return catalog->sorted_targets;
 }
 
+/* Add POOL, which gets new flows by WEIGHT, to ROUTE.  catalog_route_clear()
+ * frees what ROUTE holds. */
+void
+catalog_route_add_split(struct catalog_route *route, struct pool_id pool,
+                        uint32_t weight)
+{
+    route->splits =
+        g_renew(struct catalog_split, route->splits, route->split_count + 1);
+    route->splits[route->split_count].pool = pool;
+    route->splits[route->split_count].weight = weight;
+    route->split_count++;
+}
+
+/* Free the members of the struct catalog_route at ROUTE. */
+void
+catalog_route_clear(struct catalog_route *route)
+{
+    g_free(route->splits);
+    route->splits = NULL;
+    route->split_count = 0;
+}
+
 /* Initialize TABLES as empty; catalog_tables_clear() frees the members. */
 void
 catalog_tables_init(struct catalog_tables *tables)
 {
     memset(tables, 0, sizeof(*tables));
     tables->routes = g_array_new(FALSE, TRUE, sizeof(struct catalog_route));
+    g_array_set_clear_func(tables->routes,
+                           (GDestroyNotify)catalog_route_clear);
     tables->pools = new_pool_table();
 }
 
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -20,7 +20,6 @@
 
 #include "base/view.h"
 
-#define CATALOG_SPLITS_MAX  8
 #define CATALOG_VOTERS_MAX  5
 #define CATALOG_REMOVED_MAX 4096 /* removed rows that are kept */
 #define CATALOG_OWNERS_MAX  64 /* entry daemons that share a zone's targets */
@@ -56,7 +55,7 @@
     uint32_t timeout_ms;
     uint32_t goal_ms; /* latency objective */
     size_t split_count;
-    struct catalog_split splits[CATALOG_SPLITS_MAX];
+    struct catalog_split *splits; /* owned */
     uint64_t revision;
     bool removed;
 };
@@ -192,6 +191,10 @@
 size_t catalog_emptied_count(const struct catalog *);
 const GArray *catalog_zones(const struct catalog *);
 
+void catalog_route_add_split(struct catalog_route *, struct pool_id,
+                             uint32_t weight);
+void catalog_route_clear(struct catalog_route *);
+
 const struct catalog_traits *catalog_kind_traits(enum catalog_kind);
 const struct catalog_route *catalog_find_route(const struct catalog *,
                                                uint64_t key);
--- a/src/catalog/catalog_update.c
+++ b/src/catalog/catalog_update.c
@@ -137,6 +137,7 @@
             return false;
         }
         catalog_put_route(catalog, &route);
+        catalog_route_clear(&route);
     }
     for (size_t i = 0; i < update->n_targets; i++) {
         if (!catalog_wire_read_target(update->targets[i], &target)) {
--- a/src/peer/catalog_wire.c
+++ b/src/peer/catalog_wire.c
@@ -79,14 +79,14 @@
     }
 }
 
-/* Set ROUTE from ROW; return false if ROW is invalid. */
+/* Set ROUTE from ROW; return false if ROW is invalid.  The caller clears ROUTE
+ * with catalog_route_clear() in both cases. */
 bool
 catalog_wire_read_route(const Parsleyspur__CatalogRoute *row,
                         struct catalog_route *route)
 {
     memset(route, 0, sizeof(*route));
-    if (row->port > UINT16_MAX || row->kind >= CATALOG_KIND__MAX ||
-        row->n_splits > CATALOG_SPLITS_MAX) {
+    if (row->port > UINT16_MAX || row->kind >= CATALOG_KIND__MAX) {
         return false;
     }
     route->key = catalog_endpoint_key(row->address, (uint16_t)row->port);
@@ -96,10 +96,10 @@
     route->goal_ms = row->goal_ms;
     route->revision = row->revision;
     route->removed = row->removed;
-    route->split_count = row->n_splits;
     for (size_t i = 0; i < row->n_splits; i++) {
-        route->splits[i].pool.value = row->splits[i]->pool;
-        route->splits[i].weight = row->splits[i]->weight;
+        struct pool_id pool = {row->splits[i]->pool};
+
+        catalog_route_add_split(route, pool, row->splits[i]->weight);
     }
     return true;
 }
--- a/tests/property/prop_affinity_cold.cc
+++ b/tests/property/prop_affinity_cold.cc
@@ -70,9 +70,7 @@
     catalog_tables_add_pool(&command.u.tables, "desk", rate);
     route.key = catalog_endpoint_key(ROUTE_ADDRESS, 1);
     route.timeout_ms = 1000;
-    route.split_count = 1;
-    route.splits[0].pool = view_pool_id("desk");
-    route.splits[0].weight = 1;
+    catalog_route_add_split(&route, view_pool_id("desk"), 1);
     g_array_append_val(command.u.tables.routes, route);
     apply(&world.fixture, &command);
     catalog_command_clear(&command);
--- a/tests/script/fleet_operator.py
+++ b/tests/script/fleet_operator.py
@@ -23,6 +23,8 @@
               "restore": "/v1/Evacuation.Finish/"}
 # Before the names of both services; longer than any name of a host in DNS.
 PREFIX = os.environ.get("SERVICE_PREFIX", "")
+# Services over which the route of port 81 is split, with equal weights.
+SPLIT = os.environ.get("SPLIT", "").split()
 KINDS = ["non_idempotent", "non_idempotent", "download", "upload",
          "idempotent"]
 
@@ -42,11 +44,15 @@
         }
         for n in range(2 + extra)
     ]
+    if SPLIT:
+        del routes[0]["service"]
+        routes[0]["split"] = [{"service": s, "weight": 1} for s in SPLIT]
     return {
         "version": version,
         "routes": routes,
         "services": [{"name": PREFIX + "feeds", "warmup_per_s": 10.0},
-                     {"name": PREFIX + "books"}],
+                     {"name": PREFIX + "books"}] +
+                    [{"name": s} for s in SPLIT],
         "limits": {"idle_timeout_ms": 15000},
     }
 
--- a/tests/unit/catalog_fixture.h
+++ b/tests/unit/catalog_fixture.h
@@ -45,9 +45,7 @@
         route.timeout_ms = 1000;
         route.goal_ms = 100;
         route.priority = 1;
-        route.split_count = 1;
-        route.splits[0].pool = view_pool_id(pool);
-        route.splits[0].weight = 1;
+        catalog_route_add_split(&route, view_pool_id(pool), 1);
         g_array_append_val(command.u.tables.routes, route);
     }
     return command;
--- a/tests/unit/test_affinity_hedge.c
+++ b/tests/unit/test_affinity_hedge.c
@@ -122,19 +122,12 @@
 test_not_repeatable(void **state)
 {
     struct affinity_fixture fixture = hedging_fixture(3, 1);
-    struct catalog_route route =
-        *catalog_find_route(fixture.catalog_fixture.catalog,
-                            catalog_endpoint_key(ROUTE_ADDRESS, 1));
-    struct catalog_command command = {.kind = CATALOG_REPLACE};
+    struct catalog_command command = make_tables(2, "desk", 1);
     const struct catalog_target *first;
 
     (void)state;
-    catalog_tables_init(&command.u.tables);
-    command.u.tables.version = 2;
-    command.u.tables.document = g_bytes_new("x", 1);
-    catalog_tables_add_pool(&command.u.tables, "desk", -1);
-    route.kind = CATALOG_NON_IDEMPOTENT;
-    g_array_append_val(command.u.tables.routes, route);
+    g_array_index(command.u.tables.routes, struct catalog_route, 0).kind =
+        CATALOG_NON_IDEMPOTENT;
     apply(&fixture.catalog_fixture, &command);
     catalog_command_clear(&command);
     open_unanswered(&fixture, 1, &first);
--- a/tests/unit/test_affinity_link.c
+++ b/tests/unit/test_affinity_link.c
@@ -51,10 +51,9 @@
             .key = catalog_endpoint_key(ROUTE_ADDRESS, port),
             .kind = port == UPLOAD_PORT ? CATALOG_UPLOAD : CATALOG_IDEMPOTENT,
             .goal_ms = GOAL_MS,
-            .split_count = 1,
-            .splits = {{view_pool_id("desk"), 1}},
         };
 
+        catalog_route_add_split(&route, view_pool_id("desk"), 1);
         g_array_append_val(command.u.tables.routes, route);
     }
     apply(&fixture.catalog_fixture, &command);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -10,6 +10,8 @@
 
 #include "platform.h"
 
+#define MANY_POOLS 100
+
 static void test_packet(void **);
 static void test_packet_cut(void **);
 static void test_reset(void **);
@@ -18,6 +20,7 @@
 static void test_leave(void **);
 static void test_tables(void **);
 static void test_bad_tables(void **);
+static void test_route_to_many_pools(void **);
 static void test_kinds(void **);
 static void test_settings(void **);
 static void test_zone_orders(void **);
@@ -236,6 +239,38 @@
     fleet_call_clear(&call);
 }
 
+/* Tables with a route to more than eight pools were refused, although nothing
+ * limits how many a route may have. */
+static void
+test_route_to_many_pools(void **state)
+{
+    GString *body = g_string_new("{\"version\":3,\"services\":[");
+    struct fleet_call call;
+
+    (void)state;
+    for (unsigned i = 0; i < MANY_POOLS; i++) {
+        g_string_append_printf(body, "%s{\"name\":\"p%u\"}", i > 0 ? "," : "",
+                               i);
+    }
+    g_string_append(body, "],\"routes\":[{\"name\":\"x\",\"host\":"
+                          "\"198.18.0.1\",\"path_prefix\":\"/80/\","
+                          "\"kind\":\"upload\",\"timeout_ms\":100,"
+                          "\"split\":[");
+    for (unsigned i = 0; i < MANY_POOLS; i++) {
+        g_string_append_printf(body, "%s{\"service\":\"p%u\",\"weight\":1}",
+                               i > 0 ? "," : "", i);
+    }
+    g_string_append(body, "]}]}");
+    call = decode("POST", "/v1/Config.Replace", body->str);
+    assert_int_equal(call.kind, FLEET_CALL_REPLACE);
+    assert_int_equal(
+        g_array_index(call.u.tables.routes, struct catalog_route, 0)
+            .split_count,
+        MANY_POOLS);
+    fleet_call_clear(&call);
+    g_string_free(body, TRUE);
+}
+
 static void
 test_kinds(void **state)
 {
@@ -414,12 +449,19 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_packet),      cmocka_unit_test(test_packet_cut),
-        cmocka_unit_test(test_reset),       cmocka_unit_test(test_beat),
-        cmocka_unit_test(test_bad_beats),   cmocka_unit_test(test_leave),
-        cmocka_unit_test(test_tables),      cmocka_unit_test(test_bad_tables),
-        cmocka_unit_test(test_kinds),       cmocka_unit_test(test_settings),
-        cmocka_unit_test(test_zone_orders), cmocka_unit_test(test_cold_limits),
+        cmocka_unit_test(test_packet),
+        cmocka_unit_test(test_packet_cut),
+        cmocka_unit_test(test_reset),
+        cmocka_unit_test(test_beat),
+        cmocka_unit_test(test_bad_beats),
+        cmocka_unit_test(test_leave),
+        cmocka_unit_test(test_tables),
+        cmocka_unit_test(test_bad_tables),
+        cmocka_unit_test(test_kinds),
+        cmocka_unit_test(test_settings),
+        cmocka_unit_test(test_route_to_many_pools),
+        cmocka_unit_test(test_zone_orders),
+        cmocka_unit_test(test_cold_limits),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
