Refuse announcements with a start in the future

What callers saw: after one announcement of another writer with a number too large, a living host is gone for good. Its open flows are reset; its own announcements are answered with 200 and change nothing, also that it leaves.

Cause: the decoder took a start ("born") and a sequence up to 2^63 - 1, and the catalog orders incarnations and announcements by them. An incarnation of the year 292 million outdates whatever the host at that address, or under that id, says afterwards.

Evidence, the script on the code before: 200 for starts of 2^53, 2^63 - 1, in micro- and nanoseconds, also in a leave, and for a sequence of 2^63 - 1; the host missing in every list of targets, "reset_open 10", and no daemon that follows the host that leaves. Ruled out by the same run, as held before: nesting of 1,500 to 200,000 levels, numbers above 64 bits, ports out of range, bytes that are no text; no process ended.

--- a/src/fleet/fleet_calls.c
+++ b/src/fleet/fleet_calls.c
@@ -5,6 +5,9 @@
 #include "base/log.h"
 #include "fleet/fleet_control_private.h"
 
+/* The clocks of targets and daemons differ by less; a day, in ms. */
+#define START_AHEAD_MAX_MS 86400000U
+
 static void handle_announcement(struct fleet *, const struct http_request *,
                                 const struct catalog_target *);
 static void handle_leave(struct fleet *, const struct http_request *,
@@ -14,8 +17,11 @@
 static void handle_read(struct fleet *, const struct http_request *);
 static void reject(struct fleet *, const struct http_request *,
                    unsigned status, const char *fault);
-static void reject_unknown_pool(struct fleet *, const struct http_request *,
-                                const struct catalog_target *);
+static void reject_target(struct fleet *, const struct http_request *,
+                          const struct catalog_target *, const char *event,
+                          const char *fault);
+static bool rejects_future_start(struct fleet *, const struct http_request *,
+                                 const struct catalog_target *);
 
 /* Answer one call, at once or when its outcome is known. */
 void
@@ -74,22 +80,44 @@
     g_free(text);
 }
 
-/* Refuse the announcement TARGET, whose pool is in no tables, and log what it
- * was compared with. */
+/* Refuse an announcement or a leave of TARGET because of FAULT, and log EVENT
+ * with what decided it. */
 static void
-reject_unknown_pool(struct fleet *fleet, const struct http_request *request,
-                    const struct catalog_target *target)
+reject_target(struct fleet *fleet, const struct http_request *request,
+              const struct catalog_target *target, const char *event,
+              const char *fault)
 {
     fleet->control->calls[FLEET_CALL_BAD]++;
     fleet_log_line(
-        fleet->log, FLEET_LOG_FAILURE, clock_boottime_us(), "pool-unknown",
+        fleet->log, FLEET_LOG_FAILURE, clock_boottime_us(), event,
         "\"target\":\"%" G_GINT64_MODIFIER "x\",\"pool\":\"%" G_GINT64_MODIFIER
-        "x\",\"version\":%" G_GUINT64_FORMAT
+        "x\",\"incarnation\":%" G_GUINT64_FORMAT
+        ",\"clock_ms\":%" G_GINT64_FORMAT ",\"version\":%" G_GUINT64_FORMAT
         ",\"revision\":%" G_GUINT64_FORMAT,
-        target->host, target->pool.value, catalog_version(fleet->catalog),
+        target->host, target->pool.value, target->incarnation,
+        g_get_real_time() / 1000, catalog_version(fleet->catalog),
         catalog_revision(fleet->catalog));
-    reject(fleet, request, 400,
-           "no tables name the pool; send tables with it first");
+    reject(fleet, request, 400, fault);
+}
+
+/*
+ * Refuse a call of TARGET, and return true, if it states a start that lies in
+ * the future.  Such an incarnation would outdate each announcement of the host
+ * that lives at the target's address or under its id, for good.
+ */
+static bool
+rejects_future_start(struct fleet *fleet, const struct http_request *request,
+                     const struct catalog_target *target)
+{
+    uint64_t now_ms = (uint64_t)(g_get_real_time() / 1000);
+
+    if (target->incarnation <= now_ms + START_AHEAD_MAX_MS) {
+        return false;
+    }
+    reject_target(fleet, request, target, "start-in-future",
+                  "the time of the target's start is more than a day ahead of "
+                  "this daemon's clock; set the clock that is wrong");
+    return true;
 }
 
 /*
@@ -113,9 +141,13 @@
                "cut off from the leader; call another daemon");
         return;
     }
+    if (rejects_future_start(fleet, request, target)) {
+        return;
+    }
     if (catalog_version(fleet->catalog) != 0 &&
         !catalog_has_pool(fleet->catalog, target->pool)) {
-        reject_unknown_pool(fleet, request, target);
+        reject_target(fleet, request, target, "pool-unknown",
+                      "no tables name the pool; send tables with it first");
         return;
     }
     fleet_announcement_received(fleet, target->host);
@@ -151,6 +183,9 @@
     struct fleet_requester requester = {
         .kind = FLEET_REQUESTER_CALL, .what = "leave", .target = target->host};
 
+    if (rejects_future_start(fleet, request, target)) {
+        return;
+    }
     requester.u.http = request->handle;
     if (held != NULL && held->state == CATALOG_GONE &&
         target->incarnation <= held->incarnation) {
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -172,6 +172,9 @@
         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
         "\"version\":3,\"slots\":2,\"state\":\"ready\","
         "\"warmup_left_ms\":0,\"seq\":1}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
+        "\"warmup_left_ms\":0,\"seq\":9223372036854775807}",
         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"\","
         "\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
         "\"warmup_left_ms\":0,\"seq\":1}",
