Let a voter whose log failed at the first start form the fleet

What callers saw: the disks of two control daemons are full for two seconds each, one after the other, during the first start. No leader is ever elected; tables and announcements are refused with 503 to the end, while all processes run.

Cause: reopen_log() opened the log of a voter as one that may not form a fleet, whether the fleet had formed or not; a restart in the same state may. A voter with an empty log that may not form a fleet waits to be admitted by a leader, and with two such voters of three there is none.

Evidence: the script on the code before ends with "tables: not acked" and no leader; control-1 and control-2 have "votes":false after their log is open again, control-3 has its vote and campaigns every 0.7 s. Ruled out: the disks (both write again), connections, and one full disk alone (the others form the fleet).

Change: fleet_quorum_open() goes by fleet_formed at a start and at an opening again; its parameter is gone. Why this works: both voters ask again whether the fleet is new, and get their votes. No voter can vote twice: the vote is still given only if every other initial voter answers, to this very store, that it never had a term.

The test failed before: as above.

--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -57,8 +57,7 @@
     }
     if (fleet_voter_file_read(fleet)) {
         fleet_voter_file_remove_logs(fleet);
-        if (control->voter != 0 &&
-            !fleet_quorum_open(fleet, !control->fleet_formed, error)) {
+        if (control->voter != 0 && !fleet_quorum_open(fleet, error)) {
             return false;
         }
     }
--- a/src/fleet/fleet_control_private.h
+++ b/src/fleet/fleet_control_private.h
@@ -110,8 +110,8 @@
 void fleet_voter_replace_lost(struct fleet *, uint64_t now_us);
 
 /* fleet_quorum.c: the replicated log */
-bool fleet_quorum_open(struct fleet *, bool may_form_fleet, GError **);
-void fleet_quorum_try_open(struct fleet *, bool may_form_fleet);
+bool fleet_quorum_open(struct fleet *, GError **);
+void fleet_quorum_try_open(struct fleet *);
 void fleet_quorum_close(struct fleet *);
 void fleet_quorum_tick(struct fleet *, uint64_t now_us);
 void fleet_quorum_resign(struct fleet *);
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -72,18 +72,19 @@
 }
 
 /*
- * Open the log of the voter that this daemon is, and start the voter.
- * MAY_FORM_FLEET: with an empty log it may form a new fleet with the other
- * initial voters.  Return false and set ERROR if the log cannot be opened.
+ * Open the log of the voter that this daemon is, and start the voter.  With an
+ * empty log it may form a new fleet with the other initial voters, unless it
+ * knows that the fleet has formed: then it has lost its log.  Return false and
+ * set ERROR if the log cannot be opened.
  */
 bool
-fleet_quorum_open(struct fleet *fleet, bool may_form_fleet, GError **error)
+fleet_quorum_open(struct fleet *fleet, GError **error)
 {
     struct fleet_control *control = fleet->control;
     struct quorum_options options = {
         .self = {control->voter},
         .voter_count = control->voter_count,
-        .no_bootstrap = !may_form_fleet,
+        .no_bootstrap = control->fleet_formed,
         .seed = hash_pair(fleet->options->address, clock_boottime_us()),
         .election_timeout_us = ELECTION_TIMEOUT_US,
         .heartbeat_us = FLEET_QUORUM_HEARTBEAT_US,
@@ -112,17 +113,18 @@
     fleet->catalog = catalog_new();
     control->packed_revision = UINT64_MAX;
     control->quorum = quorum_core_new(&options, &stored, clock_boottime_us());
-    fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
-                   "log-open",
-                   "\"voter\":%zu,\"empty\":%s,\"records\":%" G_GUINT64_FORMAT
-                   ",\"torn_bytes\":%" G_GUINT64_FORMAT
-                   ",\"votes\":%s,\"term\":%" G_GUINT64_FORMAT
-                   ",\"took_ms\":%" G_GUINT64_FORMAT,
-                   control->voter, report.was_empty ? "true" : "false",
-                   report.records, report.torn_bytes,
-                   quorum_core_has_vote(control->quorum) ? "true" : "false",
-                   quorum_core_term(control->quorum),
-                   (clock_boottime_us() - started_us) / 1000);
+    fleet_log_line(
+        fleet->log, FLEET_LOG_STATE, clock_boottime_us(), "log-open",
+        "\"voter\":%zu,\"empty\":%s,\"may_form\":%s,"
+        "\"records\":%" G_GUINT64_FORMAT ",\"torn_bytes\":%" G_GUINT64_FORMAT
+        ",\"votes\":%s,\"term\":%" G_GUINT64_FORMAT
+        ",\"took_ms\":%" G_GUINT64_FORMAT,
+        control->voter, report.was_empty ? "true" : "false",
+        options.no_bootstrap ? "false" : "true", report.records,
+        report.torn_bytes,
+        quorum_core_has_vote(control->quorum) ? "true" : "false",
+        quorum_core_term(control->quorum),
+        (clock_boottime_us() - started_us) / 1000);
     quorum_stored_clear(&stored);
     return true;
 }
@@ -132,12 +134,12 @@
  * fleet_quorum_tick() tries again.
  */
 void
-fleet_quorum_try_open(struct fleet *fleet, bool may_form_fleet)
+fleet_quorum_try_open(struct fleet *fleet)
 {
     GError *error = NULL;
     char *text;
 
-    if (!fleet_quorum_open(fleet, may_form_fleet, &error)) {
+    if (!fleet_quorum_open(fleet, &error)) {
         text = log_json_text(error->message);
         fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
                        "log-not-open", "\"error\":%s", text);
@@ -170,7 +172,7 @@
 {
     fleet_request_fail_all(fleet);
     fleet_quorum_close(fleet);
-    fleet_quorum_try_open(fleet, false);
+    fleet_quorum_try_open(fleet);
 }
 
 /*
--- a/src/fleet/fleet_voter.c
+++ b/src/fleet/fleet_voter.c
@@ -86,7 +86,7 @@
     }
     fleet_voter_file_write(fleet);
     if (control->voter != 0) {
-        fleet_quorum_try_open(fleet, true);
+        fleet_quorum_try_open(fleet);
     }
 }
 
@@ -106,7 +106,7 @@
                    "voter-begun",
                    "\"voter\":%zu,\"revision\":%" G_GUINT64_FORMAT,
                    control->voter, control->assigned_revision);
-    fleet_quorum_try_open(fleet, false);
+    fleet_quorum_try_open(fleet);
 }
 
 /* Stop being a voter, since another daemon has replaced this one for good. */
--- a/tests/script/fleet.sh
+++ b/tests/script/fleet.sh
@@ -51,7 +51,24 @@
         export PARSLEYSPUR_SPAN_FILE=$RUN_DIR/$1.spans
         export PARSLEYSPUR_SPAN_SAMPLE=1
     fi
-    PARSLEYSPUR_NODE_FILE=$RUN_DIR/$1.json start "$1" "$BIN" "${1%-*}"
+    # shellcheck disable=SC2086
+    PARSLEYSPUR_NODE_FILE=$RUN_DIR/$1.json start "$1" ${WRAP:-} "$BIN" "${1%-*}"
+}
+
+# A limit on the size of a file stands for a full disk; the daemon's log is not
+# written meanwhile either.
+FULL_DISK="--fsize=1:unlimited"
+
+daemon_up_with_full_disk() { # NAME [FIRST]
+    WRAP="prlimit $FULL_DISK" daemon_up "$@"
+}
+
+disk_full() { # NAME
+    prlimit --pid "${PID[$1]}" $FULL_DISK
+}
+
+disk_has_room() { # NAME
+    prlimit --pid "${PID[$1]}" --fsize=unlimited:unlimited
 }
 
 # A fleet of C control and E entry daemons; the first three are the seeds.
