Open no log before the voters are stored, and try again

What callers saw: two voters of three lose their disks one after the other, and each finds the new one full for two seconds; tables are acknowledged afterwards. All control daemons are killed and the third one stays away: there is no leader for good, tables get 503, and the acknowledged version cannot be read. One lost machine is to be borne.

Cause: on a full disk fleet_voter_file_write() failed, logged it and left it at that, while the log was opened as soon as the disk had room. The daemon got its vote without a file that says which voter it is; after a restart it waits to be told, and with two such daemons of two nobody can.

Evidence: script/fleet-voter-file on the code before prints "tables: not acked" and does not read version 5; the data folders of control-1 and control-2 have a log and no file `voters`. Ruled out: lost entries (both logs hold version 5), lost votes (both had theirs before the kill).

Change: whether the voters are stored is known; fleet_voter_file_tick() stores them again each second, and fleet_quorum_try_open() opens no log before. Why this works: a vote needs a log, and a log now needs the file, so no voter gives a vote that it would not know of after a restart.

The test failed before: as above.

--- a/src/fleet/fleet_control.c
+++ b/src/fleet/fleet_control.c
@@ -47,6 +47,7 @@
     control->unreported_hosts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     control->pending = fleet_pending_new();
     control->evidence = evidence_core_new();
+    control->voters_stored = true; /* none are known yet */
     /* No earlier life of this daemon has used the ids of this one. */
     control->next_request = (uint64_t)g_random_int() << REQUEST_ID_BITS;
     if (fleet->options->data_dir == NULL) {
@@ -140,6 +141,7 @@
 fleet_control_tick(struct fleet *fleet, uint64_t now_us)
 {
     fleet_zone_tick(fleet, now_us);
+    fleet_voter_file_tick(fleet, now_us);
     fleet_quorum_tick(fleet, now_us);
     fleet_heartbeat_send_due(fleet, now_us);
     fleet_request_tick(fleet, now_us);
--- a/src/fleet/fleet_control_private.h
+++ b/src/fleet/fleet_control_private.h
@@ -59,6 +59,8 @@
     uint64_t last_replacement_us;
     size_t last_replaced_voter; /* its index */
     uint32_t log_number;        /* in the name of the log's folder */
+    bool voters_stored;         /* the voter file has what is known here */
+    uint64_t next_voters_retry_us;
 
     GHashTable *requests; /* id -> struct fleet_request */
     uint64_t next_request;
@@ -123,6 +125,7 @@
 /* fleet_voter_file.c: the voters, kept on disk */
 bool fleet_voter_file_read(struct fleet *);
 void fleet_voter_file_write(struct fleet *);
+void fleet_voter_file_tick(struct fleet *, uint64_t now_us);
 char *fleet_voter_file_log_folder(const struct fleet *);
 void fleet_voter_file_pack_voters(const struct fleet_control *,
                                   Parsleyspur__FleetHeartbeat *);
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -130,8 +130,8 @@
 }
 
 /*
- * Open the log as fleet_quorum_open() does; a failure is logged, and
- * fleet_quorum_tick() tries again.
+ * Open the log as fleet_quorum_open() does, unless the voters are not stored
+ * yet; a failure is logged, and fleet_quorum_tick() tries again.
  */
 void
 fleet_quorum_try_open(struct fleet *fleet)
@@ -139,6 +139,9 @@
     GError *error = NULL;
     char *text;
 
+    if (!fleet->control->voters_stored) {
+        return;
+    }
     if (!fleet_quorum_open(fleet, &error)) {
         text = log_json_text(error->message);
         fleet_log_line(fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
--- a/src/fleet/fleet_voter_file.c
+++ b/src/fleet/fleet_voter_file.c
@@ -16,6 +16,8 @@
 #define FILE_NAME  "voters"
 #define FILE_NEW   "voters.new"
 #define LOG_PREFIX "log-"
+/* Time between attempts to store the voters on a full disk. */
+#define RETRY_INTERVAL_US 1000000U
 
 static char *data_path(const struct fleet *, const char *name);
 static bool write_file(const char *path, const GByteArray *);
@@ -111,9 +113,9 @@
 }
 
 /*
- * Store the voters.  A failure is logged and not retried: other daemons
- * correct the voters in the older file, and a daemon whose log files are lost
- * gets no vote.
+ * Store the voters.  A failure is logged; fleet_voter_file_tick() tries again,
+ * and until then the daemon opens no log: after a restart it would not know
+ * which voter the log is of.
  */
 void
 fleet_voter_file_write(struct fleet *fleet)
@@ -122,8 +124,10 @@
     char *new_path = data_path(fleet, FILE_NEW);
     char *path = data_path(fleet, FILE_NAME);
 
-    if (!write_file(new_path, bytes) || rename(new_path, path) != 0 ||
-        !sync_folder(fleet->options->data_dir)) {
+    fleet->control->voters_stored = write_file(new_path, bytes) &&
+                                    rename(new_path, path) == 0 &&
+                                    sync_folder(fleet->options->data_dir);
+    if (!fleet->control->voters_stored) {
         fleet_log_line(
             fleet->log, FLEET_LOG_STATE, clock_boottime_us(),
             "voters-not-stored",
@@ -136,6 +140,19 @@
     g_free(path);
 }
 
+/* Store the voters if that failed before; at most every RETRY_INTERVAL_US. */
+void
+fleet_voter_file_tick(struct fleet *fleet, uint64_t now_us)
+{
+    struct fleet_control *control = fleet->control;
+
+    if (control->voters_stored || now_us < control->next_voters_retry_us) {
+        return;
+    }
+    control->next_voters_retry_us = now_us + RETRY_INTERVAL_US;
+    fleet_voter_file_write(fleet);
+}
+
 /* Read the voters from the file.  Return false if it is missing or damaged. */
 bool
 fleet_voter_file_read(struct fleet *fleet)
