Let only a target of a known pool own its address

What callers saw: announcements of another writer, with a pool that no tables name, at the addresses of living hosts.

Cause, one for both: a control daemon refuses such an announcement only by its own catalog, which is empty before the first tables and just after the start of a daemon that does not vote. Once committed, apply_announce() marked the living target at that address as gone, since the other one stated a later start.

Ruled out: the writer alone and restarts alone, which break nothing.

Change: where the log is applied, a target owns its address only if it is live and tables have named its pool; tables that name further pools settle addresses that several targets announced. An announcement for a pool of no tables changes no row of a host that owns its address. Why this works: the rule needs no daemon's own view; all replicas decide alike, whoever let the entry in.

test_address_reused and test_contradicting_announcement used a pool of no tables for another service; their tables name it now, what they check is unchanged.

--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -227,6 +227,19 @@
                                             : a->host < b->host;
 }
 
+/*
+ * Return true if TARGET may own its address: it is live, and tables have named
+ * its pool.  Any other announcement may be that of a writer that names no
+ * target.
+ */
+bool
+catalog_may_own_address(const struct catalog *catalog,
+                        const struct catalog_target *target)
+{
+    return target->state != CATALOG_GONE &&
+           catalog_has_pool(catalog, target->pool);
+}
+
 /*
  * Add TARGET to the indexes.  The cookie of a target that is gone is kept
  * until a live target has the same one.  If two live targets have the same
@@ -240,7 +253,7 @@
     struct catalog_target *other =
         g_hash_table_lookup(catalog->cookies, cookie);
 
-    if (target->state != CATALOG_GONE) {
+    if (catalog_may_own_address(catalog, target)) {
         uint64_t key = catalog_endpoint_key(target->address, target->port);
 
         g_hash_table_insert(catalog->addresses, g_memdup2(&key, sizeof(key)),
@@ -296,7 +309,7 @@
     }
 }
 
-/* Return the live target at ADDRESS and PORT, or NULL. */
+/* Return the target that owns ADDRESS and PORT, or NULL. */
 const struct catalog_target *
 catalog_find_target_at(const struct catalog *catalog, uint32_t address,
                        uint16_t port)
--- a/src/catalog/catalog_apply.c
+++ b/src/catalog/catalog_apply.c
@@ -4,11 +4,16 @@
 #include "catalog/catalog_state.h"
 
 static bool apply_replace(struct catalog *, uint64_t index,
-                          const struct catalog_tables *);
+                          const struct catalog_tables *,
+                          struct catalog_change *);
 static void remove_unlisted_routes(struct catalog *, uint64_t index,
                                    const struct catalog_tables *);
 static bool same_route(const struct catalog_route *,
                        const struct catalog_route *);
+static bool started_later(const struct catalog_target *,
+                          const struct catalog_target *);
+static GHashTable *choose_owners(const struct catalog *);
+static bool settle_addresses(struct catalog *, uint64_t index);
 static bool apply_announce(struct catalog *, uint64_t index,
                            const struct catalog_target *);
 static bool apply_leave(struct catalog *, uint64_t index,
@@ -36,7 +41,8 @@
     }
     switch (command->kind) {
     case CATALOG_REPLACE:
-        change->tables = apply_replace(catalog, index, &command->u.tables);
+        change->tables =
+            apply_replace(catalog, index, &command->u.tables, change);
         break;
     case CATALOG_ANNOUNCE:
         change->targets = apply_announce(catalog, index, &command->u.target);
@@ -120,12 +126,73 @@
     g_hash_table_destroy(listed);
 }
 
+/* Return true if A started after B; of two that started at once, the one with
+ * the higher host did. */
+static bool
+started_later(const struct catalog_target *a, const struct catalog_target *b)
+{
+    return a->incarnation != b->incarnation ? a->incarnation > b->incarnation
+                                            : a->host > b->host;
+}
+
+/*
+ * Return a new table of the targets that are to own their addresses: of
+ * several at one address the one that started last.
+ */
+static GHashTable *
+choose_owners(const struct catalog *catalog)
+{
+    GHashTable *owners =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+
+    for (guint i = 0; i < catalog->sorted_targets->len; i++) {
+        struct catalog_target *target = catalog->sorted_targets->pdata[i];
+        uint64_t key = catalog_endpoint_key(target->address, target->port);
+        const struct catalog_target *other = g_hash_table_lookup(owners, &key);
+
+        if (catalog_may_own_address(catalog, target) &&
+            (other == NULL || started_later(target, other))) {
+            g_hash_table_replace(owners, g_memdup2(&key, sizeof(key)), target);
+        }
+    }
+    return owners;
+}
+
+/*
+ * Settle which targets own their addresses, after tables have named further
+ * pools; the others at these addresses are gone.  Return true if any is.
+ */
+static bool
+settle_addresses(struct catalog *catalog, uint64_t index)
+{
+    GHashTable *owners = choose_owners(catalog);
+    bool changed = false;
+
+    for (guint i = 0; i < catalog->sorted_targets->len; i++) {
+        struct catalog_target *target = catalog->sorted_targets->pdata[i];
+        uint64_t key = catalog_endpoint_key(target->address, target->port);
+
+        if (catalog_may_own_address(catalog, target) &&
+            g_hash_table_lookup(owners, &key) != target) {
+            target->state = CATALOG_GONE;
+            target->revision = index;
+            changed = true;
+        }
+    }
+    g_hash_table_destroy(owners);
+    catalog_rebuild_indexes(catalog);
+    return changed;
+}
+
 /* Put TABLES in force and return true; return false and change nothing if
- * their version is not higher than the one in force. */
+ * their version is not higher than the one in force.  Store in CHANGE whether
+ * targets have changed. */
 static bool
 apply_replace(struct catalog *catalog, uint64_t index,
-              const struct catalog_tables *tables)
+              const struct catalog_tables *tables,
+              struct catalog_change *change)
 {
+    guint pool_count = g_hash_table_size(catalog->pools);
     GHashTableIter iter;
     gpointer key, value;
 
@@ -148,6 +215,9 @@
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         catalog_put_pool(catalog, *(uint64_t *)key, value);
     }
+    if (g_hash_table_size(catalog->pools) != pool_count) {
+        change->targets = settle_addresses(catalog, index);
+    }
     if (catalog->document != NULL) {
         g_bytes_unref(catalog->document);
     }
@@ -162,7 +232,8 @@
  * Return true if TARGET, an announcement, is outdated: it is of an earlier
  * incarnation, out of order, of an incarnation that is gone, or of a host
  * whose address now belongs to one that started later; or if it contradicts
- * what the same incarnation has said of its pool or address.
+ * what the same incarnation has said of its pool or address, or names a pool
+ * of no tables for a host that owns its address.
  */
 static bool
 is_outdated(const struct catalog *catalog, const struct catalog_target *target)
@@ -183,6 +254,10 @@
          target->port != existing->port)) {
         return true;
     }
+    if (existing != NULL && catalog_may_own_address(catalog, existing) &&
+        !catalog_has_pool(catalog, target->pool)) {
+        return true;
+    }
     return other != NULL && other->host != target->host &&
            other->incarnation > target->incarnation;
 }
@@ -211,7 +286,8 @@
 
 /*
  * Apply an announcement, and mark a target of another host at its address as
- * gone.  Return false if the announcement changes nothing.
+ * gone if tables have named the announced pool.  Return false if the
+ * announcement changes nothing.
  */
 static bool
 apply_announce(struct catalog *catalog, uint64_t index,
@@ -224,7 +300,8 @@
         return false;
     }
     other = catalog_find_target_at(catalog, target->address, target->port);
-    if (other != NULL && other->host != target->host) {
+    if (other != NULL && other->host != target->host &&
+        catalog_may_own_address(catalog, target)) {
         struct catalog_target gone = *other;
 
         gone.state = CATALOG_GONE;
--- a/src/catalog/catalog_state.h
+++ b/src/catalog/catalog_state.h
@@ -17,7 +17,7 @@
     GHashTable *routes;    /* key -> struct catalog_route, removed ones too */
     GHashTable *targets;   /* host -> struct catalog_target, gone ones too */
     GHashTable *cookies;   /* cookie -> struct catalog_target */
-    GHashTable *addresses; /* address and port -> live target */
+    GHashTable *addresses; /* address and port -> the target that owns them */
     GPtrArray *sorted_targets; /* targets by host */
     unsigned clashes;          /* targets with cookie_clashes */
     struct catalog_voter voters[CATALOG_VOTERS_MAX];
@@ -34,6 +34,8 @@
 void catalog_apply_zone(struct catalog *, uint64_t index,
                         const struct catalog_zone_order *,
                         struct catalog_change *);
+bool catalog_may_own_address(const struct catalog *,
+                             const struct catalog_target *);
 const struct catalog_target *catalog_find_target_at(const struct catalog *,
                                                     uint32_t address,
                                                     uint16_t port);
--- a/src/catalog/catalog_update.c
+++ b/src/catalog/catalog_update.c
@@ -131,7 +131,12 @@
     struct catalog_target target;
     struct catalog_pool pool;
     struct catalog_zone zone;
+    guint pool_count = g_hash_table_size(catalog->pools);
 
+    for (size_t i = 0; i < update->n_pools; i++) {
+        catalog_wire_read_pool(update->pools[i], &pool);
+        catalog_put_pool(catalog, update->pools[i]->id, &pool);
+    }
     for (size_t i = 0; i < update->n_routes; i++) {
         if (!catalog_wire_read_route(update->routes[i], &route)) {
             return false;
@@ -145,14 +150,13 @@
         }
         catalog_put_target(catalog, &target);
     }
-    for (size_t i = 0; i < update->n_pools; i++) {
-        catalog_wire_read_pool(update->pools[i], &pool);
-        catalog_put_pool(catalog, update->pools[i]->id, &pool);
-    }
     for (size_t i = 0; i < update->n_zones; i++) {
         catalog_wire_read_zone(update->zones[i], &zone);
         catalog_put_zone(catalog, &zone);
     }
+    if (g_hash_table_size(catalog->pools) != pool_count) {
+        catalog_rebuild_indexes(catalog); /* more targets own addresses */
+    }
     return true;
 }
 
--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -21,14 +21,21 @@
 static void test_command_round_trip(void **);
 static void test_equal_cookies(void **);
 static void test_long_pool_names_keep_their_ids(void **);
+static void test_pool_of_no_tables_takes_no_address(void **);
+static void test_addresses_settled_by_first_tables(void **);
+static void test_replica_learns_pools_after_targets(void **);
 
-/* Return a catalog with tables of version 5: three routes to one pool. */
+/* Return a catalog with tables of version 5: three routes to the pool "desk",
+ * and the pool "other" without a route. */
 static struct catalog_fixture
 new_fixture(void)
 {
     struct catalog_fixture fixture = {.catalog = catalog_new()};
+    struct catalog_command command = make_tables(5, "desk", 3);
 
-    replace(&fixture, 5, "desk", 3);
+    catalog_tables_add_pool(&command.u.tables, "other", -1);
+    apply(&fixture, &command);
+    catalog_command_clear(&command);
     return fixture;
 }
 
@@ -369,6 +376,104 @@
     catalog_free(fixture.catalog);
 }
 
+/* Announce a target of POOL on HOST at the address of host 1. */
+static void
+announce_at_first(struct catalog_fixture *fixture, uint64_t host,
+                  uint64_t incarnation, const char *pool)
+{
+    struct catalog_target target = make_target(host, incarnation, 1, pool);
+
+    target.address = make_target(1, 1, 1, pool).address;
+    apply_target_command(fixture, CATALOG_ANNOUNCE, &target);
+}
+
+/* Return the state of HOST. */
+static enum catalog_target_state
+state_of(const struct catalog_fixture *fixture, uint64_t host)
+{
+    return catalog_find_target(fixture->catalog, host)->state;
+}
+
+/*
+ * An announcement of another writer, whose pool no tables name, ended the
+ * living target at its address: its flows were reset, and its own
+ * announcements were outdated for good.  Likewise under the target's own id.
+ */
+static void
+test_pool_of_no_tables_takes_no_address(void **state)
+{
+    struct catalog_fixture fixture = new_fixture();
+    struct catalog_target target = make_target(1, 300, 9, "unheard-of");
+
+    (void)state;
+    announce(&fixture, 1, 100, 1, "desk");
+    announce_at_first(&fixture, 77, 200, "unheard-of");
+    assert_int_equal(state_of(&fixture, 1), CATALOG_READY);
+    apply_target_command(&fixture, CATALOG_ANNOUNCE, &target);
+    assert_false(fixture.change.targets);
+    target = make_target(1, 100, 2, "desk");
+    target.state = CATALOG_DRAINING;
+    apply_target_command(&fixture, CATALOG_ANNOUNCE, &target);
+    assert_int_equal(state_of(&fixture, 1), CATALOG_DRAINING);
+    catalog_free(fixture.catalog);
+}
+
+/*
+ * Before the first tables no pool is known.  What was announced then stays;
+ * the tables settle which target an address belongs to: of those whose pool
+ * they name, the one that started last.
+ */
+static void
+test_addresses_settled_by_first_tables(void **state)
+{
+    struct catalog_fixture fixture = {.catalog = catalog_new()};
+
+    (void)state;
+    announce(&fixture, 1, 100, 1, "desk");
+    announce_at_first(&fixture, 77, 200, "unheard-of");
+    announce_at_first(&fixture, 78, 50, "desk");
+    announce(&fixture, 2, 100, 1, "desk");
+    replace(&fixture, 5, "desk", 1);
+    assert_true(fixture.change.targets);
+    assert_int_equal(state_of(&fixture, 1), CATALOG_READY);
+    assert_int_equal(state_of(&fixture, 2), CATALOG_READY);
+    assert_int_equal(state_of(&fixture, 78), CATALOG_GONE);
+    announce_at_first(&fixture, 79, 300, "desk");
+    assert_int_equal(state_of(&fixture, 1), CATALOG_GONE);
+    assert_int_equal(state_of(&fixture, 79), CATALOG_READY);
+    replace(&fixture, 6, "unheard-of", 1);
+    assert_int_equal(state_of(&fixture, 77), CATALOG_GONE);
+    assert_int_equal(state_of(&fixture, 79), CATALOG_READY);
+    catalog_free(fixture.catalog);
+}
+
+/* A replica, or a snapshot, in which the targets come before their pools has
+ * the same owner of an address as the catalog that it comes from. */
+static void
+test_replica_learns_pools_after_targets(void **state)
+{
+    struct catalog_fixture fixture = {.catalog = catalog_new()};
+    struct catalog_fixture replica = {.catalog = catalog_new()};
+    GByteArray *early = g_byte_array_new(), *late = g_byte_array_new();
+    struct catalog_target reused = make_target(79, 300, 1, "desk");
+
+    (void)state;
+    announce(&fixture, 1, 100, 1, "desk");
+    catalog_pack_update(fixture.catalog, 0, CATALOG_COMPLETE, early);
+    merge(replica.catalog, early, true);
+    replace(&fixture, 5, "desk", 1);
+    catalog_pack_update(fixture.catalog, 1, CATALOG_COMPLETE, late);
+    merge(replica.catalog, late, true);
+    replica.index = fixture.index;
+    reused.address = make_target(1, 1, 1, "desk").address;
+    apply_target_command(&replica, CATALOG_ANNOUNCE, &reused);
+    assert_int_equal(state_of(&replica, 1), CATALOG_GONE);
+    g_byte_array_unref(early);
+    g_byte_array_unref(late);
+    catalog_free(replica.catalog);
+    catalog_free(fixture.catalog);
+}
+
 int
 main(void)
 {
@@ -385,6 +490,9 @@
         cmocka_unit_test(test_command_round_trip),
         cmocka_unit_test(test_equal_cookies),
         cmocka_unit_test(test_long_pool_names_keep_their_ids),
+        cmocka_unit_test(test_pool_of_no_tables_takes_no_address),
+        cmocka_unit_test(test_addresses_settled_by_first_tables),
+        cmocka_unit_test(test_replica_learns_pools_after_targets),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
