Compress large commands of the log, and say when one is too large

Cause: tables are one command, the document and the rows made of it, and a command is held to 1 MiB. The leader refused it as too large; run_action() dropped the reason.

Ruled out: the limit of a body (4 MB), slow commits (the refusal comes at once), a lost majority (fewer routes are acked at the same moment).

Change: a packed command of 256 KiB or more is compressed (zlib); a frame may have 8 MiB, for the whole catalog of a daemon that does not vote. A command that is too large all the same is refused with 413 where it arrives. Why this works: rows of tables repeat their words, so 4 MB, the largest body, are some hundred KB; entries stay small enough to be sent within a heartbeat's time.

--- a/src/fleet/fleet_request.c
+++ b/src/fleet/fleet_request.c
@@ -18,6 +18,8 @@
 static void answer_peer(struct fleet *, const struct fleet_request *, bool ok);
 static void answer_read(struct fleet *, const struct fleet_request *);
 static void send_to_leader(struct fleet *, Parsleyspur__FleetMessage *);
+static void refuse_too_large(struct fleet *, const struct fleet_requester *,
+                             size_t len);
 
 /*
  * Return a new request that ends after TIMEOUT_US at the latest.  It belongs
@@ -144,10 +146,26 @@
     fleet_send(fleet, fleet_heartbeat_leader(fleet), message);
 }
 
+/* Answer a call whose packed command of LEN bytes no log takes, and log it. */
+static void
+refuse_too_large(struct fleet *fleet, const struct fleet_requester *requester,
+                 size_t len)
+{
+    fleet_log_line(
+        fleet->log, FLEET_LOG_FAILURE, clock_boottime_us(), "call-refused",
+        "\"status\":413,\"what\":\"%s\",\"sent_version\":"
+        "%" G_GUINT64_FORMAT ",\"bytes\":%zu,\"most\":%u",
+        requester->what, requester->version, len, QUORUM_COMMAND_MAX);
+    fleet_answer(fleet, requester->u.http, 413,
+                 "the tables are too large for the log, also compressed; send "
+                 "fewer routes, or shorter names");
+}
+
 /*
  * Have the packed command committed and report the outcome to REQUESTER.  A
  * daemon that is not the leader relays the command to the leader; a command
- * that was already relayed to it fails instead.
+ * that was already relayed to it fails instead.  One that is too large for any
+ * leader is refused at once.
  */
 void
 fleet_request_packed_command(struct fleet *fleet, const uint8_t *data,
@@ -155,11 +173,15 @@
                              const struct fleet_requester *requester)
 {
     struct fleet_control *control = fleet->control;
-    struct fleet_request *request =
-        request_new(fleet, requester, COMMAND_TIMEOUT_US);
+    struct fleet_request *request;
     Parsleyspur__FleetMessage message = PARSLEYSPUR__FLEET_MESSAGE__INIT;
     Parsleyspur__FleetSubmit submit = PARSLEYSPUR__FLEET_SUBMIT__INIT;
 
+    if (len > QUORUM_COMMAND_MAX && requester->kind == FLEET_REQUESTER_CALL) {
+        refuse_too_large(fleet, requester, len);
+        return;
+    }
+    request = request_new(fleet, requester, COMMAND_TIMEOUT_US);
     if (control->quorum != NULL &&
         quorum_core_role(control->quorum) == QUORUM_LEADER) {
         fleet_quorum_propose(fleet, request->id, data, len);
--- a/src/peer/catalog.pb-c.c
+++ b/src/peer/catalog.pb-c.c
@@ -1301,7 +1301,7 @@
   (ProtobufCMessageInit) parsleyspur__catalog_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor parsleyspur__catalog_command__field_descriptors[6] =
+static const ProtobufCFieldDescriptor parsleyspur__catalog_command__field_descriptors[8] =
 {
   {
     "replace",
@@ -1375,19 +1375,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "deflated",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__CatalogCommand, deflated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Parsleyspur__CatalogCommand, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned parsleyspur__catalog_command__field_indices_by_name[] = {
   1,   /* field[1] = announce */
+  6,   /* field[6] = deflated */
   2,   /* field[2] = leave */
   3,   /* field[3] = presence */
   0,   /* field[0] = replace */
+  7,   /* field[7] = size */
   4,   /* field[4] = voter */
   5,   /* field[5] = zone */
 };
 static const ProtobufCIntRange parsleyspur__catalog_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor parsleyspur__catalog_command__descriptor =
 {
@@ -1397,7 +1423,7 @@
   "Parsleyspur__CatalogCommand",
   "parsleyspur",
   sizeof(Parsleyspur__CatalogCommand),
-  6,
+  8,
   parsleyspur__catalog_command__field_descriptors,
   parsleyspur__catalog_command__field_indices_by_name,
   1,  parsleyspur__catalog_command__number_ranges,
--- a/src/peer/catalog.pb-c.h
+++ b/src/peer/catalog.pb-c.h
@@ -182,7 +182,8 @@
 
 
 /*
- * An entry of the replicated log: exactly one member is set.
+ * An entry of the replicated log: exactly one member is set, `size` beside
+ * `deflated`.
  */
 struct  Parsleyspur__CatalogCommand
 {
@@ -193,10 +194,18 @@
   Parsleyspur__CatalogTarget *presence;
   Parsleyspur__CatalogVoter *voter;
   Parsleyspur__CatalogZoneOrder *zone;
+  /*
+   * a large command, packed and compressed
+   */
+  ProtobufCBinaryData deflated;
+  /*
+   * of the packed command in `deflated`
+   */
+  uint32_t size;
 };
 #define PARSLEYSPUR__CATALOG_COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&parsleyspur__catalog_command__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, {0,NULL}, 0 }
 
 
 /* Parsleyspur__CatalogSplit methods */
--- a/src/peer/catalog_wire.c
+++ b/src/peer/catalog_wire.c
@@ -4,7 +4,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/deflate.h"
+
 #define ROW_GROWTH 16 /* rows by which an array grows */
+/* Bytes of a packed command from which on it is compressed. */
+#define DEFLATE_MIN (256U << 10)
+/* Of a command that was compressed; a limit on damaged entries. */
+#define SIZE_MAX_BYTES (64U << 20)
 
 static void *add_row(size_t *count, void ***rows, size_t size);
 static void fill_target(Parsleyspur__CatalogTarget *,
@@ -22,6 +28,11 @@
 new_tables_message(const struct catalog_tables *);
 static bool read_tables(const Parsleyspur__CatalogUpdate *,
                         struct catalog_tables *);
+static void pack_command(const struct catalog_command *, GByteArray *);
+static bool read_deflated(const Parsleyspur__CatalogCommand *,
+                          struct catalog_command *);
+static bool read_command(const Parsleyspur__CatalogCommand *,
+                         struct catalog_command *);
 static bool read_target_command(const Parsleyspur__CatalogTarget *,
                                 enum catalog_command_kind,
                                 struct catalog_command *);
@@ -326,9 +337,9 @@
     return update;
 }
 
-/* Append COMMAND to BYTES in the form of a log entry. */
-void
-catalog_wire_pack(const struct catalog_command *command, GByteArray *bytes)
+/* Append COMMAND to BYTES, packed but not compressed. */
+static void
+pack_command(const struct catalog_command *command, GByteArray *bytes)
 {
     Parsleyspur__CatalogCommand *message = g_malloc0(sizeof(*message));
     struct catalog_voter voter = {0};
@@ -362,6 +373,33 @@
     parsleyspur__catalog_command__free_unpacked(message, NULL);
 }
 
+/*
+ * Append COMMAND to BYTES in the form of a log entry.  A large one, which can
+ * only be tables, is compressed: their text repeats the same words in each row,
+ * and an entry is sent and stored as a whole.
+ */
+void
+catalog_wire_pack(const struct catalog_command *command, GByteArray *bytes)
+{
+    Parsleyspur__CatalogCommand message = PARSLEYSPUR__CATALOG_COMMAND__INIT;
+    GByteArray *packed = g_byte_array_new();
+    GByteArray *deflated;
+
+    pack_command(command, packed);
+    if (packed->len < DEFLATE_MIN) {
+        g_byte_array_append(bytes, packed->data, packed->len);
+        g_byte_array_unref(packed);
+        return;
+    }
+    deflated = deflate_bytes(packed->data, packed->len);
+    message.deflated.data = deflated->data;
+    message.deflated.len = deflated->len;
+    message.size = packed->len;
+    catalog_wire_append(&message.base, bytes);
+    g_byte_array_unref(deflated);
+    g_byte_array_unref(packed);
+}
+
 /* Set TABLES from UPDATE; return false if a route is invalid.  The caller
  * clears TABLES in both cases. */
 static bool
@@ -402,22 +440,45 @@
     return catalog_wire_read_target(row, &command->u.target);
 }
 
-/*
- * Unpack COMMAND from LEN bytes.  Return false if they are not a valid
- * command; else the caller frees its members with catalog_command_clear().
- */
-bool
-catalog_wire_unpack(const uint8_t *data, size_t len,
-                    struct catalog_command *command)
+/* Set COMMAND from the compressed one in MESSAGE; return false if that is
+ * damaged, larger than SIZE_MAX_BYTES, or compressed once more. */
+static bool
+read_deflated(const Parsleyspur__CatalogCommand *message,
+              struct catalog_command *command)
 {
-    Parsleyspur__CatalogCommand *message =
-        parsleyspur__catalog_command__unpack(NULL, len, data);
-    bool ok = false;
+    GByteArray *packed;
+    Parsleyspur__CatalogCommand *inner;
+    bool ok;
 
-    memset(command, 0, sizeof(*command));
-    if (message == NULL) {
+    if (message->size > SIZE_MAX_BYTES) {
+        return false;
+    }
+    packed = deflate_inflate(message->deflated.data, message->deflated.len,
+                             message->size);
+    if (packed == NULL) {
         return false;
     }
+    inner =
+        parsleyspur__catalog_command__unpack(NULL, packed->len, packed->data);
+    g_byte_array_unref(packed);
+    if (inner == NULL) {
+        return false;
+    }
+    ok = inner->deflated.len == 0 && read_command(inner, command);
+    parsleyspur__catalog_command__free_unpacked(inner, NULL);
+    return ok;
+}
+
+/* Set COMMAND from MESSAGE; return false if that is not valid. */
+static bool
+read_command(const Parsleyspur__CatalogCommand *message,
+             struct catalog_command *command)
+{
+    bool ok = false;
+
+    if (message->deflated.len > 0) {
+        return read_deflated(message, command);
+    }
     if (message->replace != NULL) {
         command->kind = CATALOG_REPLACE;
         ok = read_tables(message->replace, &command->u.tables);
@@ -441,6 +502,26 @@
         command->kind = CATALOG_ZONE;
         ok = read_zone_order(message->zone, &command->u.zone);
     }
+    return ok;
+}
+
+/*
+ * Unpack COMMAND from LEN bytes.  Return false if they are not a valid
+ * command; else the caller frees its members with catalog_command_clear().
+ */
+bool
+catalog_wire_unpack(const uint8_t *data, size_t len,
+                    struct catalog_command *command)
+{
+    Parsleyspur__CatalogCommand *message =
+        parsleyspur__catalog_command__unpack(NULL, len, data);
+    bool ok;
+
+    memset(command, 0, sizeof(*command));
+    if (message == NULL) {
+        return false;
+    }
+    ok = read_command(message, command);
     if (!ok) {
         catalog_command_clear(command);
     }
--- a/src/peer/frame.h
+++ b/src/peer/frame.h
@@ -11,8 +11,9 @@
 
 #include <glib.h>
 
-#define FRAME_HEADER_LEN  5
-#define FRAME_PAYLOAD_MAX (4U << 20) /* bytes */
+#define FRAME_HEADER_LEN 5
+/* Bytes; a catalog with the largest tables that are taken fits. */
+#define FRAME_PAYLOAD_MAX (8U << 20)
 
 enum peer_channel {
     PEER_HELLO,
--- a/src/peer/mesh_private.h
+++ b/src/peer/mesh_private.h
@@ -6,7 +6,7 @@
 #include "peer/mesh.h"
 
 #define MESH_VERSION      2
-#define MESH_QUEUE_MAX    (8U << 20) /* bytes waiting for one peer */
+#define MESH_QUEUE_MAX    (16U << 20) /* bytes waiting for one peer */
 #define MESH_RETRY_MIN_MS 50
 #define MESH_RETRY_MAX_MS 1000
 /* Until a connection is open and greeted: short at first, since a peer that
--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -8,6 +8,7 @@
 
 #include "catalog_fixture.h"
 #include "peer/catalog_wire.h"
+#include "quorum/quorum.h"
 
 static void test_highest_version(void **);
 static void test_revision_of_changed_rows(void **);
@@ -24,6 +25,7 @@
 static void test_pool_of_no_tables_takes_no_address(void **);
 static void test_addresses_settled_by_first_tables(void **);
 static void test_replica_learns_pools_after_targets(void **);
+static void test_large_tables_fit_into_a_command(void **);
 
 /* Return a catalog with tables of version 5: three routes to the pool "desk",
  * and the pool "other" without a route. */
@@ -474,6 +476,43 @@
     catalog_free(fixture.catalog);
 }
 
+/*
+ * Tables of some 5,000 routes and more were above the largest command of the
+ * log, and refused for good.  Compressed, tables of 10,000 routes fit; damaged
+ * bytes are no command.
+ */
+static void
+test_large_tables_fit_into_a_command(void **state)
+{
+    struct catalog_command sent = make_tables(7, "desk", 10000), stored;
+    GString *document = g_string_new(NULL);
+    GByteArray *bytes = g_byte_array_new();
+
+    (void)state;
+    for (unsigned i = 0; i < 10000; i++) {
+        g_string_append_printf(
+            document,
+            "{\"name\":\"r-%08x\",\"host\":\"198.18.%u.%u\",\"path_prefix\":"
+            "\"/%u/\",\"kind\":\"non_idempotent\",\"timeout_ms\":1500,"
+            "\"target_latency_ms\":150,\"priority\":1,\"service\":\"desk\"}",
+            i * 2654435761U, i / 256, i % 256, i % 50000 + 1);
+    }
+    g_bytes_unref(sent.u.tables.document);
+    sent.u.tables.document = g_string_free_to_bytes(document);
+    catalog_wire_pack(&sent, bytes);
+    assert_true(bytes->len <= QUORUM_COMMAND_MAX);
+    assert_true(catalog_wire_unpack(bytes->data, bytes->len, &stored));
+    assert_int_equal(stored.kind, CATALOG_REPLACE);
+    assert_int_equal(stored.u.tables.routes->len, 10000);
+    assert_true(
+        g_bytes_equal(stored.u.tables.document, sent.u.tables.document));
+    catalog_command_clear(&stored);
+    bytes->data[bytes->len / 2] ^= 1;
+    assert_false(catalog_wire_unpack(bytes->data, bytes->len, &stored));
+    g_byte_array_unref(bytes);
+    catalog_command_clear(&sent);
+}
+
 int
 main(void)
 {
@@ -493,6 +532,7 @@
         cmocka_unit_test(test_pool_of_no_tables_takes_no_address),
         cmocka_unit_test(test_addresses_settled_by_first_tables),
         cmocka_unit_test(test_replica_learns_pools_after_targets),
+        cmocka_unit_test(test_large_tables_fit_into_a_command),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
