Keep the age of an opening that is held again

Cause: a packet that was taken from the hold and could not be decided on was put back as one that had just arrived. Each update of the catalog without tables gave an opening another 150 ms, past its copy, which the caller sends after 200 ms and which another daemon had placed at another host.

Change: the hold gives a packet out with the time of its arrival, and it is put back with that. Why this works: the time for which an opening may be placed ends before its first copy, however many updates come.

--- a/src/fleet/fleet_hold.c
+++ b/src/fleet/fleet_hold.c
@@ -18,6 +18,7 @@
 
 struct held {
     uint64_t key;
+    uint64_t arrived_us;
     uint64_t expires_us;
     size_t len;
     uint8_t *data;
@@ -79,10 +80,13 @@
                          : OPEN_AGE_MAX_US;
 }
 
-/* Hold a copy of PACKET.  Return false if there is no space.  A copy of a
- * packet that is held already is left out. */
+/*
+ * Hold a copy of PACKET, which arrived at ARRIVED_US: now, or before it was
+ * held already.  Return false if there is no space.  A copy of a packet that is
+ * held is left out.
+ */
 bool
-fleet_hold_add(struct fleet_hold *hold, uint64_t now_us,
+fleet_hold_add(struct fleet_hold *hold, uint64_t arrived_us,
                const struct fleet_hold_packet *packet)
 {
     struct held *held = g_hash_table_lookup(hold->keys, &packet->key);
@@ -90,7 +94,8 @@
 
     if (held != NULL) {
         hold->counters.copies++;
-        held->expires_us = now_us + age_max_us;
+        held->arrived_us = arrived_us;
+        held->expires_us = arrived_us + age_max_us;
         return true;
     }
     if (hold->bytes + packet->len > hold->bytes_max) {
@@ -99,7 +104,8 @@
     }
     held = g_new0(struct held, 1);
     held->key = packet->key;
-    held->expires_us = now_us + age_max_us;
+    held->arrived_us = arrived_us;
+    held->expires_us = arrived_us + age_max_us;
     held->len = packet->len;
     held->data = g_memdup2(packet->data, packet->len);
     g_queue_push_tail(&hold->packets, held);
@@ -111,11 +117,12 @@
 
 /*
  * Move the oldest packet that is not too old to OUT, which has space for MAX
- * bytes.  Return its length, 0 if there is none.
+ * bytes, and set ARRIVED_US to its arrival.  Return its length, 0 if there is
+ * none.
  */
 size_t
 fleet_hold_take(struct fleet_hold *hold, uint64_t now_us, uint8_t *out,
-                size_t max)
+                size_t max, uint64_t *arrived_us)
 {
     struct held *held;
     size_t len = 0;
@@ -129,6 +136,7 @@
         else {
             len = held->len;
             memcpy(out, held->data, len);
+            *arrived_us = held->arrived_us;
         }
         free_held(held);
     }
--- a/src/fleet/fleet_hold.h
+++ b/src/fleet/fleet_hold.h
@@ -33,10 +33,10 @@
 
 struct fleet_hold *fleet_hold_new(size_t bytes_max);
 void fleet_hold_free(struct fleet_hold *);
-bool fleet_hold_add(struct fleet_hold *, uint64_t now_us,
+bool fleet_hold_add(struct fleet_hold *, uint64_t arrived_us,
                     const struct fleet_hold_packet *);
 size_t fleet_hold_take(struct fleet_hold *, uint64_t now_us, uint8_t *out,
-                       size_t max);
+                       size_t max, uint64_t *arrived_us);
 size_t fleet_hold_count(const struct fleet_hold *);
 const struct fleet_hold_counters *
 fleet_hold_counters(const struct fleet_hold *);
--- a/src/fleet/fleet_packet.c
+++ b/src/fleet/fleet_packet.c
@@ -19,7 +19,8 @@
 static void alloc_input(uv_handle_t *, size_t, uv_buf_t *);
 static void on_packet(uv_udp_t *, ssize_t, const uv_buf_t *,
                       const struct sockaddr *, unsigned);
-static void process_packet(struct fleet *, const uint8_t *, size_t);
+static void process_packet(struct fleet *, uint64_t arrived_us,
+                           const uint8_t *, size_t);
 static void flush_batch(struct fleet_entry *);
 static void on_send_timer(uv_timer_t *);
 static uint64_t flow_key(const struct affinity_packet *);
@@ -31,7 +32,7 @@
                        const struct affinity_packet *);
 static bool awaits_catalog(const struct fleet_entry *,
                            const struct affinity_verdict *);
-static void hold_packet(struct fleet_entry *, uint64_t now_us,
+static void hold_packet(struct fleet_entry *, uint64_t arrived_us,
                         const struct affinity_packet *, const uint8_t *,
                         size_t);
 static void log_verdict(struct fleet *, uint64_t now_us,
@@ -124,7 +125,8 @@
     struct fleet *fleet = udp->data;
 
     if (len > 0 && from != NULL) {
-        process_packet(fleet, (const uint8_t *)buffer->base, (size_t)len);
+        process_packet(fleet, clock_boottime_us(),
+                       (const uint8_t *)buffer->base, (size_t)len);
     }
     if ((flags & UV_UDP_MMSG_CHUNK) == 0) {
         fleet_packet_send_queued(fleet);
@@ -325,10 +327,10 @@
                               verdict->reason == AFFINITY_UNKNOWN_COOKIE);
 }
 
-/* Keep PACKET, which was read as the LEN bytes at DATA, until the catalog is
- * there. */
+/* Keep PACKET, which arrived at ARRIVED_US as the LEN bytes at DATA, until the
+ * catalog is there. */
 static void
-hold_packet(struct fleet_entry *entry, uint64_t now_us,
+hold_packet(struct fleet_entry *entry, uint64_t arrived_us,
             const struct affinity_packet *packet, const uint8_t *data,
             size_t len)
 {
@@ -340,7 +342,7 @@
         .len = len,
     };
 
-    fleet_hold_add(entry->hold, now_us, &held);
+    fleet_hold_add(entry->hold, arrived_us, &held);
 }
 
 /* Decide on the packets that were held, now that there is a newer catalog. */
@@ -349,16 +351,17 @@
 {
     struct fleet_entry *entry = fleet->entry;
     size_t count = fleet_hold_count(entry->hold);
-    uint64_t now_us = clock_boottime_us();
+    uint64_t now_us = clock_boottime_us(), arrived_us;
     uint8_t data[FLEET_PACKET_MAX];
     size_t len;
 
     if (count == 0) {
         return;
     }
-    while (count-- > 0 && (len = fleet_hold_take(entry->hold, now_us, data,
-                                                 sizeof(data))) > 0) {
-        process_packet(fleet, data, len);
+    while (count-- > 0 &&
+           (len = fleet_hold_take(entry->hold, now_us, data, sizeof(data),
+                                  &arrived_us)) > 0) {
+        process_packet(fleet, arrived_us, data, len);
     }
     fleet_packet_send_queued(fleet);
     fleet_log_line(
@@ -373,9 +376,11 @@
         fleet_hold_count(entry->hold), catalog_revision(fleet->catalog));
 }
 
-/* Decide on one packet and carry out the decision. */
+/* Decide on one packet, which arrived at ARRIVED_US, and carry out the
+ * decision. */
 static void
-process_packet(struct fleet *fleet, const uint8_t *data, size_t len)
+process_packet(struct fleet *fleet, uint64_t arrived_us, const uint8_t *data,
+               size_t len)
 {
     struct fleet_entry *entry = fleet->entry;
     const struct fleet_edge *edge = &fleet->options->edge;
@@ -420,7 +425,7 @@
         break;
     case AFFINITY_DROP:
         if (awaits_catalog(entry, &verdict)) {
-            hold_packet(entry, now_us, &packet, data, len);
+            hold_packet(entry, arrived_us, &packet, data, len);
         }
         break;
     case AFFINITY_ACTION__MAX:
--- a/tests/unit/test_fleet_hold.c
+++ b/tests/unit/test_fleet_hold.c
@@ -20,6 +20,7 @@
 static void test_copies_are_held_once(void **);
 static void test_opening_expires_before_its_next_copy(void **);
 static void test_request_is_held_until_caller_gives_up(void **);
+static void test_opening_held_again_keeps_its_age(void **);
 static void test_space_is_limited(void **);
 
 /* Hold a packet of 10 bytes that are equal to KEY. */
@@ -45,7 +46,9 @@
 take(struct fleet_hold *hold, uint64_t now_us)
 {
     uint8_t data[10];
-    size_t len = fleet_hold_take(hold, now_us, data, sizeof(data));
+    uint64_t arrived_us;
+    size_t len =
+        fleet_hold_take(hold, now_us, data, sizeof(data), &arrived_us);
 
     if (len == 0) {
         return 0;
@@ -106,6 +109,32 @@
     fleet_hold_free(hold);
 }
 
+/*
+ * An opening that cannot be decided on by the first catalog either was held
+ * anew for its whole time, past its copy, which another daemon had opened at
+ * another target: the flow had two.
+ */
+static void
+test_opening_held_again_keeps_its_age(void **state)
+{
+    struct fleet_hold *hold = fleet_hold_new(BYTES_MAX);
+    uint8_t data[10];
+    struct fleet_hold_packet packet = {
+        .key = 1, .opens = true, .data = data, .len = sizeof(data)};
+    uint64_t arrived_us;
+
+    (void)state;
+    assert_true(add(hold, 5 * MS, 1, true, 0));
+    assert_int_equal(
+        fleet_hold_take(hold, 81 * MS, data, sizeof(data), &arrived_us),
+        sizeof(data));
+    assert_int_equal(arrived_us, 5 * MS);
+    assert_true(fleet_hold_add(hold, arrived_us, &packet));
+    assert_int_equal(take(hold, 230 * MS), 0);
+    assert_int_equal(fleet_hold_counters(hold)->expired, 1);
+    fleet_hold_free(hold);
+}
+
 static void
 test_request_is_held_until_caller_gives_up(void **state)
 {
@@ -144,6 +173,7 @@
         cmocka_unit_test(test_copies_are_held_once),
         cmocka_unit_test(test_opening_expires_before_its_next_copy),
         cmocka_unit_test(test_request_is_held_until_caller_gives_up),
+        cmocka_unit_test(test_opening_held_again_keeps_its_age),
         cmocka_unit_test(test_space_is_limited),
     };
 
