Run the operator's script only as a program

tests/soak/fleet_soak.py imports its functions, and ran its main() with the soak's own arguments each time.

--- a/tests/script/fleet_operator.py
+++ b/tests/script/fleet_operator.py
@@ -98,4 +98,5 @@
             print(json.loads(body)["version"])
 
 
-main()
+if __name__ == "__main__":
+    main()
