Count every test once, and wrap two comments

A file of its own for each result; the verdict was right before, the count is now. Two comments that were longer than a line are wrapped.

--- a/src/fleet/fleet_heartbeat.c
+++ b/src/fleet/fleet_heartbeat.c
@@ -143,8 +143,8 @@
 }
 
 /*
- * Add the targets that may be leaving and the zones that may be emptied, while there is no contact with a leader
- * that knows what is committed.
+ * Add the targets that may be leaving and the zones that may be emptied, while
+ * there is no contact with a leader that knows what is committed.
  */
 static void
 fill_leaving_targets(const struct fleet *fleet,
--- a/src/quorum/quorum_leader.c
+++ b/src/quorum/quorum_leader.c
@@ -157,8 +157,9 @@
 
 /*
  * Send PEER the entries that it lacks, or a piece of a snapshot if that is
- * shorter or the log does not hold them any more.  A HEARTBEAT sends entries again that were not
- * acknowledged for a heartbeat interval, because messages may be lost.
+ * shorter or the log does not hold them any more.  A HEARTBEAT sends entries
+ * again that were not acknowledged for a heartbeat interval, because messages
+ * may be lost.
  */
 void
 quorum_leader_replicate(struct quorum_core *core, struct quorum_peer *peer,
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -23,7 +23,7 @@
 }
 
 run_test() { # TEST: a program, or a folder with run.sh
-    local name log start seconds scratch status=0
+    local name log start seconds scratch result status=0
     name=${1#build/tests/}
     name=${name#tests/}
     log=build/log/$name.txt
@@ -41,16 +41,17 @@
     *) "$1" >"$log" 2>&1 || status=1 ;;
     esac
     seconds=$(($(date +%s) - start))
+    result=$(mktemp -p "$results")
     if [ $status -eq 0 ]; then
         echo "ok   $name ($seconds s)"
-        echo passed >"$results/$BASHPID"
+        echo passed >"$result"
     elif known_red "$name"; then
         echo "RED  $name ($seconds s), listed in KNOWN-RED.txt"
-        echo red >"$results/$BASHPID"
+        echo red >"$result"
     else
         echo "FAIL $name ($seconds s)"
         tail -n 40 "$log" | sed 's/^/     /'
-        echo failed >"$results/$BASHPID"
+        echo failed >"$result"
     fi
 }
 
