Read a daemon's status in scripts through one function

Eight scripted runs spelled out the same call of `parsleyspur status`; fleet.sh has status_of() now. A comment that was longer than a line is wrapped.

--- a/src/fleet/fleet_pending.h
+++ b/src/fleet/fleet_pending.h
@@ -1,8 +1,9 @@
 /*
  * Lists the targets that drain or leave, and the zones that are emptied,
- * according to log entries which are not known to be committed.  After a restart of all control daemons such entries
- * may have been committed and answered, which is known only once there is a
- * leader.  Until then new flows avoid these targets and zones.
+ * according to log entries which are not known to be committed.  After a
+ * restart of all control daemons such entries may have been committed and
+ * answered, which is known only once there is a leader.  Until then new flows
+ * avoid these targets and zones.
  */
 #ifndef PS_FLEET_FLEET_PENDING_H
 #define PS_FLEET_FLEET_PENDING_H
--- a/tests/script/fleet-disks-full/run.sh
+++ b/tests/script/fleet-disks-full/run.sh
@@ -28,8 +28,7 @@
 side host 7 feeds z1 "127.$B.7.7:8283" >/dev/null
 side drain 1 >/dev/null
 followed() { # NAME
-    "$BIN" status --fleet "http://$(address_of "$1"):$((INNER_PORT + 1))" \
-        --json | python3 -c 'import json, sys
+    status_of "$1" | python3 -c 'import json, sys
 state = {row["address"].split(".")[3]: row["state"]
          for row in json.load(sys.stdin)["targets"]}
 sys.exit(0 if (state.get("7"), state.get("1")) == ("ready", "draining") else 1)'
--- a/tests/script/fleet-early-writers/run.sh
+++ b/tests/script/fleet-early-writers/run.sh
@@ -53,8 +53,7 @@
 wait_for 10 served 100 && echo "served after the restarts"
 side drain 1 >/dev/null
 drains() {
-    "$BIN" status --fleet "http://$(address_of entry-1):$((INNER_PORT + 1))" \
-        --json | grep -o "\"address\":\"127.$B.7.1[^}]*" | grep -q draining
+    status_of entry-1 | grep -o "\"address\":\"127.$B.7.1[^}]*" | grep -q draining
 }
 wait_for 10 drains && echo "a host that leaves is known to leave"
 promises
--- a/tests/script/fleet-long-names/run.sh
+++ b/tests/script/fleet-long-names/run.sh
@@ -8,8 +8,7 @@
 hosts_start 6
 fleet_serves 1
 pools() {
-    "$BIN" status --fleet "http://$(address_of "$1"):$((INNER_PORT + 1))" \
-        --json | python3 -c 'import json, sys
+    status_of "$1" | python3 -c 'import json, sys
 print(" ".join(sorted("%s:%d" % (row["pool"].replace(sys.argv[1], "..."), row["ready"])
                       for row in json.load(sys.stdin)["pools"])))' \
         "$SERVICE_PREFIX"
--- a/tests/script/fleet-long-zones/run.sh
+++ b/tests/script/fleet-long-zones/run.sh
@@ -13,8 +13,7 @@
     done
 }
 emptied() { # NAME
-    "$BIN" status --fleet "http://$(address_of "$1"):$((INNER_PORT + 1))" \
-        --json | python3 -c 'import json, sys
+    status_of "$1" | python3 -c 'import json, sys
 print(" ".join(sorted(row["zone"].replace(sys.argv[1], "")
                       for row in json.load(sys.stdin)["zones"]
                       if row["emptied"])))' "$ZONE_PREFIX"
--- a/tests/script/fleet-many-pools/run.sh
+++ b/tests/script/fleet-many-pools/run.sh
@@ -14,8 +14,7 @@
 [ "$(put 1 3)" = acked ] || give_up "tables not acknowledged"
 side flows 60 >/dev/null
 pools_used() { # the services of the split whose hosts were given new flows
-    "$BIN" status --fleet "http://$(address_of entry-1):$((INNER_PORT + 1))" \
-        --json | python3 -c 'import glob, json, sys
+    status_of entry-1 | python3 -c 'import glob, json, sys
 pool = {row["target"]: row["pool"] for row in json.load(sys.stdin)["targets"]}
 used = set()
 for name in glob.glob(sys.argv[1] + "/entry-*.log"):
--- a/tests/script/fleet-odd-entries/run.sh
+++ b/tests/script/fleet-odd-entries/run.sh
@@ -8,8 +8,7 @@
 hosts_start 6
 fleet_serves 1
 targets() {
-    "$BIN" status --fleet "http://$(address_of "$1"):$((INNER_PORT + 1))" \
-        --json | python3 -c 'import json, sys
+    status_of "$1" | python3 -c 'import json, sys
 for row in sorted(json.load(sys.stdin)["targets"], key=lambda row: row["address"]):
     print(row["target"], row["pool"], row["address"], row["state"])'
 }
--- a/tests/script/fleet-writers/run.sh
+++ b/tests/script/fleet-writers/run.sh
@@ -7,8 +7,7 @@
 hosts_start 6
 fleet_serves 1
 targets() {
-    "$BIN" status --fleet "http://$(address_of control-1):$((INNER_PORT + 1))" \
-        --json | python3 -c 'import json, sys
+    status_of control-1 | python3 -c 'import json, sys
 print(sorted((row["target"], row["pool"], row["state"])
              for row in json.load(sys.stdin)["targets"]))'
 }
--- a/tests/script/fleet-zones/run.sh
+++ b/tests/script/fleet-zones/run.sh
@@ -13,8 +13,7 @@
 }
 # Hosts of zone 1, as they stand in the logs.
 hosts_of_zone() {
-    "$BIN" status --fleet "http://$(address_of entry-1):$((INNER_PORT + 1))" \
-        --json | python3 -c 'import json, sys
+    status_of entry-1 | python3 -c 'import json, sys
 for row in json.load(sys.stdin)["targets"]:
     if int(row["address"].split(".")[3].split(":")[0]) % 3 == 1:
         print(row["target"])'
--- a/tests/script/fleet.sh
+++ b/tests/script/fleet.sh
@@ -105,6 +105,10 @@
 P
 }
 
+status_of() { # NAME: its status as JSON
+    "$BIN" status --fleet "http://$(address_of "$1"):$((INNER_PORT + 1))" --json
+}
+
 metric_is_set() { # NAME METRIC: 1 if it is above 0
     metrics_of "$1" | awk -v metric="parsleyspur_$2" \
         '$1 == metric && $2 > 0 { set = 1 } END { print set + 0 }'
