Log tables in force once a step, not once an entry

At a start the whole log is applied in one step, and tables-in-force counted all routes for each of its entries: with 64 entries of 5,000 routes, 640,000 look-ups before a restarted fleet answers. Found by reading; step_core() logs the version that a step has led to. A constant of catalog_wire.c is named for what it limits, and a line of the Makefile is wrapped.

Measured: fleet-long-names logs one line a control daemon after a restart of everything; fleet-many-routes and test_catalog pass.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 DEBS     = libuv1-dev libprotobuf-c-dev protobuf-c-compiler \
            libargtable2-dev libglib2.0-dev libcmocka-dev librapidcheck-dev \
            libmicrohttpd-dev libjansson-dev libcurl4-openssl-dev \
-           libxxhash-dev zlib1g-dev libclang-rt-14-dev libssl-dev mandoc pkg-config \
-           clang clang-tidy clang-format cppcheck gcc g++ make python3
+           libxxhash-dev zlib1g-dev libclang-rt-14-dev libssl-dev mandoc \
+           pkg-config clang clang-tidy clang-format cppcheck gcc g++ make \
+           python3
 
 JOBS ?= $(shell nproc)
 # A top-level make without -j builds on every core; sub-makes share its jobs.
--- a/src/fleet/fleet_quorum.c
+++ b/src/fleet/fleet_quorum.c
@@ -300,6 +300,7 @@
     struct quorum_actions actions = {0};
     uint64_t now_us = clock_boottime_us();
     uint64_t changed = catalog_changed_revision(fleet->catalog);
+    uint64_t version = catalog_version(fleet->catalog);
 
     quorum_core_step(control->quorum, now_us, event, &actions);
     for (size_t i = 0; i < actions.count; i++) {
@@ -326,6 +327,9 @@
     if (catalog_changed_revision(fleet->catalog) != changed) {
         fleet_push_all(fleet, now_us);
     }
+    if (catalog_version(fleet->catalog) != version) {
+        log_tables(fleet);
+    }
 }
 
 /* Run one action of the core, except for a snapshot. */
@@ -393,9 +397,6 @@
         if (change.zones) {
             fleet_zone_applied(fleet, &command.u.zone);
         }
-        if (change.tables) {
-            log_tables(fleet);
-        }
         catalog_command_clear(&command);
     }
     if (change.voters) {
--- a/src/peer/catalog_wire.c
+++ b/src/peer/catalog_wire.c
@@ -9,8 +9,9 @@
 #define ROW_GROWTH 16 /* rows by which an array grows */
 /* Bytes of a packed command from which on it is compressed. */
 #define DEFLATE_MIN (256U << 10)
-/* Of a command that was compressed; a limit on damaged entries. */
-#define SIZE_MAX_BYTES (64U << 20)
+/* Bytes of a command before it was compressed; limits what a damaged entry
+ * allocates. */
+#define INFLATED_MAX (64U << 20)
 
 static void *add_row(size_t *count, void ***rows, size_t size);
 static void fill_target(Parsleyspur__CatalogTarget *,
@@ -441,7 +442,7 @@
 }
 
 /* Set COMMAND from the compressed one in MESSAGE; return false if that is
- * damaged, larger than SIZE_MAX_BYTES, or compressed once more. */
+ * damaged, larger than INFLATED_MAX, or compressed once more. */
 static bool
 read_deflated(const Parsleyspur__CatalogCommand *message,
               struct catalog_command *command)
@@ -450,7 +451,7 @@
     Parsleyspur__CatalogCommand *inner;
     bool ok;
 
-    if (message->size > SIZE_MAX_BYTES) {
+    if (message->size > INFLATED_MAX) {
         return false;
     }
     packed = deflate_inflate(message->deflated.data, message->deflated.len,
